--- a/src/main/java/thistlefall/node/ServerPool.java
+++ b/src/main/java/thistlefall/node/ServerPool.java
@@ -13,9 +13,11 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
@@ -54,13 +56,33 @@
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new HttpClientCodec(),
+                    channel.pipeline().addLast(new HttpRequestEncoder(), new AnswerDecoder(),
                         new HttpObjectAggregator(MOST_BODY), new Connection());
                 }
             });
         loop.scheduleAtFixedRate(this::closeIdle, SWEEP, SWEEP, TimeUnit.NANOSECONDS);
     }
 
+    /**
+     * Reads an answer's lines as strictly as a request's: the codec on its own takes a line without a colon for an
+     * empty header, and the connection's end for the end of a body that has no length.
+     */
+    private static final class AnswerDecoder extends HttpResponseDecoder {
+        @Override
+        protected boolean isDecodingRequest() {
+            return true;
+        }
+
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage answer) {
+            boolean empty = super.isContentAlwaysEmpty(answer);
+            if (!empty && !HttpUtil.isContentLengthSet(answer) && !HttpUtil.isTransferEncodingChunked(answer)) {
+                throw new IllegalArgumentException("an answer that does not tell its end");
+            }
+            return empty;
+        }
+    }
+
     /** One run of an app server at one address; a restart or a move makes a new one. */
     private static final class Endpoint {
         private final InetSocketAddress address;
@@ -264,9 +286,7 @@
                 return;
             }
             Attempt answered = attempt;
-            // An answer that only the connection's end closes: without a length that is no sign it is whole.
-            boolean framed = channel.isActive();
-            if (answered == null || !answered.written || answer.decoderResult().isFailure() || !framed) {
+            if (answered == null || !answered.written || answer.decoderResult().isFailure()) {
                 context.close();
                 return;
             }
--- a/src/test/java/thistlefall/node/EdgeNodeTest.java
+++ b/src/test/java/thistlefall/node/EdgeNodeTest.java
@@ -231,6 +231,21 @@
         }
     }
 
+    /** A header line without a colon once passed as an empty header, and what followed it as an answer. */
+    @Test
+    void anAnswerThatCannotBeReadIsNotPassedOn() throws Exception {
+        for (String answer : List.of(Peer.ok("no colon here\r\n", "x"), Peer.ok("X-Note : a space\r\n", "x"),
+            Peer.ok("Content-Length: 3\r\n", "x"), "ICY 200 OK\r\nContent-Length: 1\r\n\r\nx",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\nzz\r\nx\r\n0\r\n\r\n")) {
+            Peer server = peer(m -> m.answer(answer));
+            Socket client = client(node(server));
+            write(client, "POST /api", headers("t-1", "strict", "20000"), "book");
+            assertEquals("502", status(Peer.read(client)), answer);
+        }
+        Peer server = peer(m -> m.answer("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + Peer.ok("X-Empty:\r\n", "x")));
+        assertEquals("200", ask(client(node(server)), "t-2"));
+    }
+
     /** A server that says nothing: the answer comes before the client's time is up, and the attempt ends. */
     @Test
     void silenceIsAnsweredAndItsConnectionClosed() throws Exception {
