--- a/src/main/java/thistlefall/node/ServerPool.java
+++ b/src/main/java/thistlefall/node/ServerPool.java
@@ -56,8 +56,9 @@
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new HttpRequestEncoder(), new AnswerDecoder(),
-                        new HttpObjectAggregator(MOST_BODY), new Connection());
+                    AnswerDecoder decoder = new AnswerDecoder();
+                    channel.pipeline().addLast(new HttpRequestEncoder(), decoder,
+                        new HttpObjectAggregator(MOST_BODY), new Connection(decoder));
                 }
             });
         loop.scheduleAtFixedRate(this::closeIdle, SWEEP, SWEEP, TimeUnit.NANOSECONDS);
@@ -81,6 +82,11 @@
             }
             return empty;
         }
+
+        /** Whether bytes are left that belong to no whole answer. */
+        boolean holdsMore() {
+            return actualReadableBytes() > 0;
+        }
     }
 
     /** One run of an app server at one address; a restart or a move makes a new one. */
@@ -243,11 +249,17 @@
 
     /** A connection to an app server. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final AnswerDecoder decoder;
         private Channel channel;
         private Endpoint endpoint;
         private Attempt attempt;
+        private FullHttpResponse answer;
         private long idleSince;
 
+        Connection(AnswerDecoder decoder) {
+            this.decoder = decoder;
+        }
+
         /** Not in channelActive: a connect's listeners hear of it before the handlers do. */
         @Override
         public void handlerAdded(ChannelHandlerContext context) {
@@ -280,28 +292,46 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
-            int status = answer.status().code();
-            if (status >= 100 && status < 200 && answer.decoderResult().isSuccess()) {
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse message) {
+            int status = message.status().code();
+            if (status >= 100 && status < 200 && message.decoderResult().isSuccess()) {
                 return;
             }
-            Attempt answered = attempt;
-            if (answered == null || !answered.written || answer.decoderResult().isFailure()) {
+            if (attempt == null || answer != null || !attempt.written || message.decoderResult().isFailure()) {
                 context.close();
-                return;
+            } else {
+                answer = message.retain();
             }
-            Outcome outcome = outcome(answer, status);
+        }
+
+        /** An answer ends its attempt when all that came along was read: the next one must not find the rest. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (answer != null) {
+                finish();
+            } else if (attempt == null && decoder.holdsMore()) {
+                context.close();
+            }
+        }
+
+        private void finish() {
+            FullHttpResponse held = answer;
+            Attempt answered = attempt;
+            answer = null;
             attempt = null;
             answered.on = null;
-            if (HttpUtil.isKeepAlive(answer)) {
+            if (HttpUtil.isKeepAlive(held) && !decoder.holdsMore()) {
                 release();
             } else {
-                context.close();
+                channel.close();
             }
-            answered.end(outcome, outcome == Outcome.OK ? units(answer) : 0, answer.content());
+            Outcome outcome = outcome(held);
+            answered.end(outcome, outcome == Outcome.OK ? units(held) : 0, held.content());
+            held.release();
         }
 
-        private Outcome outcome(FullHttpResponse answer, int status) {
+        private Outcome outcome(FullHttpResponse answer) {
+            int status = answer.status().code();
             if (status == 200) {
                 return Outcome.OK;
             }
@@ -324,7 +354,9 @@
             if (endpoint != null) {
                 endpoint.idle.remove(this);
             }
-            if (attempt != null) {
+            if (answer != null) {
+                finish();
+            } else if (attempt != null) {
                 attempt.broke();
             }
         }
--- a/src/test/java/thistlefall/node/EdgeNodeTest.java
+++ b/src/test/java/thistlefall/node/EdgeNodeTest.java
@@ -246,6 +246,34 @@
         assertEquals("200", ask(client(node(server)), "t-2"));
     }
 
+    /** What a server sent behind its answer once was given to the request that used the connection next. */
+    @Test
+    void whatFollowsAnAnswerIsNobodysAnswer() throws Exception {
+        CompletableFuture<Void> go = new CompletableFuture<>();
+        Peer server = peer(m -> {
+            go.join();
+            m.answer(Peer.ok("", m.headers().get("x-trace-id")) + Peer.ok("", "stray"));
+        });
+        EdgeNode node = node(server);
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            clients.add(client(node));
+            order(clients.get(i), "t-" + i);
+        }
+        // Two rounds of the loop: by then all orders are taken, and those that are not out wait for a connection.
+        Socket front = client(node);
+        for (int i = 0; i < 2; i++) {
+            write(front, "GET /_health", Map.of(), "");
+            Peer.read(front);
+        }
+        go.complete(null);
+        for (int i = 0; i < clients.size(); i++) {
+            Peer.Message answer = Peer.read(clients.get(i));
+            assertEquals("200", status(answer));
+            assertEquals("t-" + i, answer.body());
+        }
+    }
+
     /** A server that says nothing: the answer comes before the client's time is up, and the attempt ends. */
     @Test
     void silenceIsAnsweredAndItsConnectionClosed() throws Exception {
