--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/thistlefall/node/ClientServer.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -69,8 +70,7 @@
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new HttpServerCodec(),
-                        new HttpObjectAggregator(ServerPool.MOST_BODY), new Session());
+                    channel.pipeline().addLast(handlers());
                 }
             })
             .bind(config.listen()).addListener((ChannelFutureListener) done -> {
@@ -84,6 +84,12 @@
         return bound;
     }
 
+    /** What stands on a client's connection. */
+    ChannelHandler[] handlers() {
+        return new ChannelHandler[] {new HttpServerCodec(), new HttpObjectAggregator(ServerPool.MOST_BODY),
+            new Session()};
+    }
+
     InetSocketAddress address() {
         return (InetSocketAddress) listening.localAddress();
     }
--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -32,14 +32,14 @@
     private static final long DRAIN_GRACE = 600 * MS;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
+    final EventLoop loop = group.next();
     /** The module's clock: the wall's time at the start, going on by the clock that never jumps. */
     private final long clockOffset = System.currentTimeMillis() * MS - System.nanoTime();
     private final Map<String, OpenRequest> open = new HashMap<>();
-    private final ServerPool pool;
     private final CounterClient counter;
     private final DiscoveryClient discovery;
-    private final ClientServer clients;
+    final ServerPool pool;
+    final ClientServer clients;
     private final Config config;
     private Gateway gateway;
     private boolean inside;
@@ -54,12 +54,17 @@
 
     /** Begins to serve; returns when the listening socket is bound. */
     void start() throws Exception {
+        decide();
+        loop.submit(() -> discovery.start(config.known().revision())).get();
+        clients.bind().get();
+    }
+
+    /** Makes the module, with the list as last had; nothing listens or connects by this alone. */
+    void decide() throws Exception {
         loop.submit(() -> {
             gateway = new Gateway(config.settings(), config.seed(), now(), this);
             list(config.known(), ListKind.CACHED);
-            discovery.start(config.known().revision());
         }).get();
-        clients.bind().get();
     }
 
     /** Where clients connect. */
--- a/src/main/java/thistlefall/node/Main.java
+++ b/src/main/java/thistlefall/node/Main.java
@@ -24,7 +24,9 @@
             return;
         }
         try {
-            EdgeNode node = new EdgeNode(Config.read(Path.of(file)));
+            Config config = Config.read(Path.of(file));
+            WarmUp.run(config);
+            EdgeNode node = new EdgeNode(config);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "stop"));
             node.start();
             System.out.println("serving on " + node.address());
--- a/src/main/java/thistlefall/node/ServerPool.java
+++ b/src/main/java/thistlefall/node/ServerPool.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -56,14 +57,26 @@
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    AnswerDecoder decoder = new AnswerDecoder();
-                    channel.pipeline().addLast(new HttpRequestEncoder(), decoder,
-                        new HttpObjectAggregator(MOST_BODY), new Connection(decoder));
+                    channel.pipeline().addLast(handlers());
                 }
             });
         loop.scheduleAtFixedRate(this::closeIdle, SWEEP, SWEEP, TimeUnit.NANOSECONDS);
     }
 
+    /** What stands on a connection to an app server. */
+    ChannelHandler[] handlers() {
+        AnswerDecoder decoder = new AnswerDecoder();
+        return new ChannelHandler[] {new HttpRequestEncoder(), decoder, new HttpObjectAggregator(MOST_BODY),
+            new Connection(decoder)};
+    }
+
+    /** Takes over an open connection that has these handlers. */
+    void lend(String server, Channel channel) {
+        Connection made = channel.pipeline().get(Connection.class);
+        made.endpoint = endpoints.get(server);
+        made.release();
+    }
+
     /**
      * Reads an answer's lines as strictly as a request's: the codec on its own takes a line without a colon for an
      * empty header, and the connection's end for the end of a body that has no length.
--- a/src/test/java/thistlefall/node/EdgeNodeTest.java
+++ b/src/test/java/thistlefall/node/EdgeNodeTest.java
@@ -147,6 +147,17 @@
         assertEquals("200", ask(client(node(peer(m -> m.answer(Peer.ok("", "x"))))), "t-1"));
     }
 
+    /** Made-up requests go the whole way in the process, and none of them out of it. */
+    @Test
+    void theWarmUpServesAndReachesNobody() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        assertTrue(WarmUp.run(Config.parse(config(member("s-0", server.address(), "Ready", 0)))) > 0);
+        for (Peer peer : List.of(server, counter, discovery)) {
+            assertTrue(peer.seen.isEmpty());
+        }
+        assertEquals(0, WarmUp.run(Config.parse(config())), "without a list there is nobody to serve");
+    }
+
     @Test
     void whatIsNoRequestIsTurnedAwayAtOnce() throws Exception {
         Peer server = peer(m -> m.answer(Peer.ok("", "x")));
