--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -6,6 +6,7 @@
 set -u
 cd "$(dirname "$0")/.."
 GW_CONFIG=deploy/archive.json java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
+  -Dio.netty.allocator.type=pooled -Dio.netty.jfr.enabled=false -Dio.netty.leakDetection.level=disabled \
   -XX:ArchiveClassesAtExit=target/thistlefall.jsa -jar target/thistlefall.jar serve > target/archive.log 2>&1 &
 node=$!
 request() {
