--- a/src/main/java/thistlefall/node/CounterClient.java
+++ b/src/main/java/thistlefall/node/CounterClient.java
@@ -40,7 +40,7 @@
 
     private final Listener listener;
     private final EventLoop loop;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final long timeout;
     private final Bootstrap bootstrap;
     private final Line[] lines = new Line[LINES];
@@ -55,6 +55,16 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, config.connectTimeout() / MS));
     }
 
+    /** Later calls go to another address; those that are out end here, for the old one answers no more. */
+    void move(InetSocketAddress to) {
+        address = to;
+        for (Line line : lines.clone()) {
+            if (line != null) {
+                line.die();
+            }
+        }
+    }
+
     /** Adds to a named number; the outcome is told later, never from within this call. */
     void count(long name, double amount, long lifetime) {
         int at = (int) Long.remainderUnsigned(name, LINES);
--- a/src/main/java/thistlefall/node/DiscoveryClient.java
+++ b/src/main/java/thistlefall/node/DiscoveryClient.java
@@ -3,7 +3,6 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -36,10 +35,11 @@
     private final EdgeNode node;
     private final EventLoop loop;
     private final Config.Names names;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final Bootstrap bootstrap;
     private long revision, backoff = FIRST_BACKOFF_MS;
     private boolean heard;
+    private Channel watching;
 
     DiscoveryClient(EdgeNode node, EventLoop loop, Config config) {
         this.node = node;
@@ -69,14 +69,35 @@
         return heard;
     }
 
+    /** Goes on at another address at once; the watch at the old one ends, so that no change is told twice. */
+    void move(InetSocketAddress to) {
+        address = to;
+        backoff = FIRST_BACKOFF_MS;
+        Channel old = watching;
+        watch();
+        if (old != null) {
+            old.close();
+        }
+    }
+
     private void watch() {
-        ChannelFuture connecting = bootstrap.connect(address);
-        connecting.channel().closeFuture().addListener(closed -> {
-            loop.schedule(this::watch, backoff, TimeUnit.MILLISECONDS);
-            backoff = Math.min(MOST_BACKOFF_MS, 2 * backoff);
+        Channel channel = bootstrap.connect(address).channel();
+        watching = channel;
+        channel.closeFuture().addListener(closed -> {
+            if (channel == watching) {
+                loop.schedule(this::again, backoff, TimeUnit.MILLISECONDS);
+                backoff = Math.min(MOST_BACKOFF_MS, 2 * backoff);
+            }
         });
     }
 
+    private void again() {
+        // A move in the meantime has begun another watch.
+        if (!watching.isOpen()) {
+            watch();
+        }
+    }
+
     /** One watch: a chunked answer with a JSON object a line. */
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -40,7 +40,7 @@
     private final DiscoveryClient discovery;
     final ServerPool pool;
     final ClientServer clients;
-    private final Config config;
+    private Config config;
     private Gateway gateway;
     private boolean inside;
 
@@ -72,6 +72,19 @@
         return clients.address();
     }
 
+    /** Follows a new configuration's addresses of discovery and counter; all else stays as it was at the start. */
+    void move(Config next) {
+        loop.execute(() -> {
+            if (next.counter() != null && !next.counter().equals(config.counter())) {
+                counter.move(next.counter());
+            }
+            if (!next.discovery().equals(config.discovery())) {
+                discovery.move(next.discovery());
+            }
+            config = next;
+        });
+    }
+
     /** Answers all that was taken and completes when no client's connection is open any more. */
     CompletableFuture<Void> drain() {
         CompletableFuture<Void> done = new CompletableFuture<>();
--- a/src/main/java/thistlefall/node/Main.java
+++ b/src/main/java/thistlefall/node/Main.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
+import sun.misc.Signal;
 import thistlefall.drill.Drill;
 
 /** The program: {@code serve} runs a real edge node, {@code drill} the decisions on the simulator's wire. */
@@ -28,6 +29,7 @@
             WarmUp.run(config);
             EdgeNode node = new EdgeNode(config);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "stop"));
+            Signal.handle(new Signal("HUP"), signal -> reload(node, file));
             node.start();
             System.out.println("serving on " + node.address());
         } catch (Config.Invalid e) {
@@ -37,6 +39,15 @@
         }
     }
 
+    /** On SIGHUP the file may name other addresses; one that cannot be used leaves all as it is. */
+    private static void reload(EdgeNode node, String file) {
+        try {
+            node.move(Config.read(Path.of(file)));
+        } catch (Config.Invalid e) {
+            System.err.println("the configuration stays as it was: " + e.getMessage());
+        }
+    }
+
     /** Ends a planned restart with 0: the platform reads any other status as a failure of the node. */
     private static void stop(EdgeNode node) {
         try {
--- a/src/test/java/thistlefall/node/EdgeNodeTest.java
+++ b/src/test/java/thistlefall/node/EdgeNodeTest.java
@@ -368,6 +368,39 @@
         assertEquals("new", Peer.read(client).body());
     }
 
+    /** The program's own process: a JVM left to itself ends on SIGHUP. */
+    @Test
+    void onSighupDiscoveryAndCounterAreFollowedToTheirNewAddresses() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        CompletableFuture<Void> never = new CompletableFuture<>();
+        discovery = peer(m -> never.join());
+        Path file = Files.createTempFile("node", ".json");
+        Files.writeString(file, config(member("s-0", server.address(), "Ready", 0)));
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-cp", System.getProperty("java.class.path"), "thistlefall.node.Main", "serve");
+        builder.environment().put("GW_CONFIG", file.toString());
+        Process process = builder.redirectErrorStream(true).start();
+        toClose.add(() -> process.destroyForcibly().waitFor());
+        discovery.next();
+        String line = process.inputReader().lines().filter(l -> l.startsWith("serving on")).findFirst().orElseThrow();
+        Peer oldCounter = counter;
+        discovery = peer(m -> never.join());
+        counter = peer(m -> m.answer(Peer.ok("", "1")));
+        Files.writeString(file, config(member("s-0", server.address(), "Ready", 0)));
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+        assertTrue(discovery.next().first().contains("watch=1"));
+        Socket client = new Socket("127.0.0.1", Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
+        toClose.add(client);
+        Map<String, String> headers = headers("t-1", "order", "20000");
+        headers.put("X-Quota", "units=1,spread=2,first=0");
+        write(client, "POST /api", headers, "");
+        assertEquals("200", status(Peer.read(client)));
+        assertTrue(counter.next().first().startsWith("POST /tally/"));
+        assertTrue(oldCounter.seen.isEmpty());
+        process.destroy();
+        assertEquals(0, process.waitFor());
+    }
+
     /** The body of an error once was read as a list, because a close does not stop what was read already. */
     @Test
     void anErrorOfDiscoveryIsNoList() throws Exception {
