Close on silent peers, refuse ambiguous requests, keep pipelined ones

A request with two lengths or a header twice was served, and a ninth pipelined request cost all those before it their answers.

--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/thistlefall/node/ClientServer.java
@@ -12,15 +12,18 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.cookie.Cookie;
@@ -36,6 +39,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import thistlefall.Ports.Repeat;
 import thistlefall.Ports.Request;
 
@@ -43,6 +47,8 @@
 final class ClientServer {
     private static final long MAX_CUSTOMER = 1L << 33;
     private static final int BACKLOG = 512, MOST_WAITING = 8;
+    /** A peer that brings no whole request in this time is owed a close; 3 s are the limit. */
+    private static final long FIRST_REQUEST_MS = 2_000;
     private static final double MOST_UNITS = 1e6;
 
     private final EdgeNode node;
@@ -86,8 +92,16 @@
 
     /** What stands on a client's connection. */
     ChannelHandler[] handlers() {
-        return new ChannelHandler[] {new HttpServerCodec(), new HttpObjectAggregator(ServerPool.MOST_BODY),
-            new Session()};
+        return new ChannelHandler[] {new RequestDecoder(), new HttpResponseEncoder(),
+            new HttpObjectAggregator(ServerPool.MOST_BODY), new Session()};
+    }
+
+    /** Takes no request that tells its length in two ways: another reader would see another request in it. */
+    private static final class RequestDecoder extends HttpRequestDecoder {
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("a request with two lengths");
+        }
     }
 
     InetSocketAddress address() {
@@ -165,10 +179,10 @@
         if (!message.method().equals(method)) {
             throw new Refusal(HttpResponseStatus.METHOD_NOT_ALLOWED, "this class goes by " + method);
         }
-        String key = headers.get("Idempotency-Key");
-        if (repeat == Repeat.KEYED && (key == null || key.isEmpty())) {
-            throw bad("Idempotency-Key is missing");
+        if (method.equals(HttpMethod.GET) && message.content().isReadable()) {
+            throw bad("a GET has no body");
         }
+        String key = repeat == Repeat.KEYED ? need(headers, "Idempotency-Key") : headers.get("Idempotency-Key");
         long span = whole(need(headers, "X-Expires-In-Ms"), "X-Expires-In-Ms", 1, 3_600_000);
         Map<String, String> quota = quota(need(headers, "X-Quota"));
         int siblings = config.settings().siblings();
@@ -181,11 +195,11 @@
     }
 
     private static String need(HttpHeaders headers, String name) throws Refusal {
-        String value = headers.get(name);
-        if (value == null || value.isBlank()) {
-            throw bad(name + " is missing");
+        List<String> values = headers.getAll(name);
+        if (values.size() != 1 || values.get(0).isBlank()) {
+            throw bad(name + (values.size() > 1 ? " comes twice" : " is missing"));
         }
-        return value;
+        return values.get(0);
     }
 
     private static int index(List<String> names, HttpHeaders headers, String name) throws Refusal {
@@ -249,13 +263,18 @@
     private final class Session extends SimpleChannelInboundHandler<FullHttpRequest> {
         private Channel channel;
         private OpenRequest current;
-        private boolean keepAlive, closing;
+        private boolean heard, keepAlive, closing;
         private final ArrayDeque<FullHttpRequest> waiting = new ArrayDeque<>();
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
             channel = context.channel();
             sessions.add(this);
+            loop.schedule(() -> {
+                if (!heard) {
+                    channel.close();
+                }
+            }, FIRST_REQUEST_MS, TimeUnit.MILLISECONDS);
             if (sessions.size() >= most && !makeRoom(this)) {
                 // At the bound on descriptors newcomers wait in the kernel's line until a connection ends.
                 listening.config().setAutoRead(false);
@@ -264,16 +283,17 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
+            heard = true;
             if (closing) {
                 return;
             }
-            if (current == null) {
+            if (current == null && waiting.isEmpty()) {
                 handle(message);
-            } else if (waiting.size() < MOST_WAITING) {
-                waiting.add(message.retain());
-            } else {
-                context.close();
+                return;
             }
+            // What is behind it was taken too, and a close would lose it: the peer has to wait.
+            waiting.add(message.retain());
+            channel.config().setAutoRead(waiting.size() < MOST_WAITING);
         }
 
         private void handle(FullHttpRequest message) {
@@ -320,7 +340,7 @@
                 answer.headers().set(HttpHeaderNames.RETRY_AFTER,
                     String.format(Locale.ROOT, "%.3f", retryAfter / 1e9));
             }
-            closing = !keepAlive || draining;
+            closing = !keepAlive || draining && waiting.isEmpty();
             if (closing) {
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
@@ -337,6 +357,7 @@
                 return;
             }
             FullHttpRequest next = waiting.poll();
+            channel.config().setAutoRead(waiting.size() < MOST_WAITING);
             try {
                 handle(next);
             } finally {
@@ -364,7 +385,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (!(cause instanceof IOException)) {
+            if (!(cause instanceof IOException || cause instanceof CodecException)) {
                 EdgeNode.trouble("a client's connection", cause);
             }
             context.close();
--- a/src/test/java/thistlefall/node/EdgeNodeTest.java
+++ b/src/test/java/thistlefall/node/EdgeNodeTest.java
@@ -194,6 +194,43 @@
         assertTrue(server.seen.isEmpty(), "none of these may reach an app server");
     }
 
+    @Test
+    void whoBringsNoWholeRequestIsCutOff() throws Exception {
+        EdgeNode node = node(peer(m -> m.answer(Peer.ok("", "x"))));
+        for (String part : List.of("", "GET /api HT", "POST /api HTTP/1.1\r\nHost: app.svc\r\nContent-Length: 9\r\n\r\nha")) {
+            Socket client = client(node);
+            client.getOutputStream().write(part.getBytes(StandardCharsets.UTF_8));
+            assertNull(Peer.read(client), part);
+        }
+    }
+
+    @Test
+    void aRequestThatCanBeReadInTwoWaysIsNone() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", "x")));
+        EdgeNode node = node(server);
+        for (String twice : List.of("Transfer-Encoding: chunked", "X-Trace-Id: t-2", "Content-Length: 1")) {
+            Map<String, String> headers = headers("t-1", "order", "20000");
+            headers.put("X-Note", "x\r\n" + twice);
+            Socket client = client(node);
+            write(client, "POST /api", headers, "0\r\n\r\n");
+            assertEquals("400", status(Peer.read(client)), twice);
+        }
+        assertTrue(server.seen.isEmpty());
+    }
+
+    /** A line of requests longer than what may wait once cost all of them their answers. */
+    @Test
+    void pipelinedRequestsAreAllAnsweredInTheirOrder() throws Exception {
+        Peer server = peer(m -> m.answer(Peer.ok("", m.headers().get("x-trace-id"))));
+        Socket client = client(node(server));
+        for (int i = 0; i < 40; i++) {
+            order(client, "t-" + i);
+        }
+        for (int i = 0; i < 40; i++) {
+            assertEquals("t-" + i, Peer.read(client).body());
+        }
+    }
+
     @Test
     void aSecondRequestOfAnOpenIdIsTurnedAwayAndTheFirstIsServed() throws Exception {
         CompletableFuture<Void> go = new CompletableFuture<>();
