Give up a counter connection whose answer cannot be read

TERMS: a total that holds no number was added, and its connection is of no further use; it was used on, and what followed could be taken for totals.

--- a/src/main/java/thistlefall/node/CounterClient.java
+++ b/src/main/java/thistlefall/node/CounterClient.java
@@ -11,16 +11,18 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.math.BigDecimal;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import thistlefall.Ports.Outcome;
 
 /**
@@ -30,6 +32,7 @@
 final class CounterClient {
     private static final int LINES = 4, MOST_PENDING = 256, MOST_ANSWER = 1024;
     private static final long MS = 1_000_000L;
+    private static final Pattern TOTAL = Pattern.compile("-?\\d+(\\.\\d+)?([eE][-+]?\\d{1,2})?");
     /** A line with a call unanswered for so many time-outs is taken to lead nowhere and is replaced. */
     private static final int SILENT_TIMEOUTS = 10;
 
@@ -115,8 +118,8 @@
             ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel made) {
-                    made.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_ANSWER),
-                        Line.this);
+                    made.pipeline().addLast(new HttpRequestEncoder(), new ServerPool.AnswerDecoder(),
+                        new HttpObjectAggregator(MOST_ANSWER), Line.this);
                 }
             }).connect(address);
             channel = connecting.channel();
@@ -197,23 +200,26 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
-            Call call = pending.poll();
-            if (call == null) {
-                die();
+            int status = answer.status().code();
+            if (status >= 100 && status < 200 && answer.decoderResult().isSuccess()) {
                 return;
             }
-            switch (answer.status().code()) {
-                case 200 -> {
-                    try {
-                        double total = Double.parseDouble(answer.content().toString(StandardCharsets.US_ASCII));
-                        call.end(Double.isFinite(total) ? Outcome.OK : Outcome.RESET, total);
-                    } catch (NumberFormatException e) {
-                        // It was added, but the total is not known.
-                        call.end(Outcome.RESET, 0);
-                    }
+            Call call = pending.peek();
+            if (call == null || answer.decoderResult().isFailure()) {
+                die();
+            } else if (status == 503 || status == 400 || status == 404) {
+                pending.poll().end(Outcome.FULL, 0);
+            } else {
+                String text = answer.content().toString(StandardCharsets.US_ASCII).trim();
+                if (status != 200 || !TOTAL.matcher(text).matches()) {
+                    // It was added, but the total is not known, and what comes behind it can't be trusted.
+                    die();
+                    return;
                 }
-                case 503, 400, 404 -> call.end(Outcome.FULL, 0);
-                default -> call.end(Outcome.RESET, 0);
+                pending.poll().end(Outcome.OK, Double.parseDouble(text));
+            }
+            if (!HttpUtil.isKeepAlive(answer)) {
+                die();
             }
         }
 
--- a/src/main/java/thistlefall/node/ServerPool.java
+++ b/src/main/java/thistlefall/node/ServerPool.java
@@ -81,7 +81,7 @@
      * Reads an answer's lines as strictly as a request's: the codec on its own takes a line without a colon for an
      * empty header, and the connection's end for the end of a body that has no length.
      */
-    private static final class AnswerDecoder extends HttpResponseDecoder {
+    static final class AnswerDecoder extends HttpResponseDecoder {
         @Override
         protected boolean isDecodingRequest() {
             return true;
@@ -96,6 +96,11 @@
             return empty;
         }
 
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage answer) {
+            throw new IllegalArgumentException("an answer with two lengths");
+        }
+
         /** Whether bytes are left that belong to no whole answer. */
         boolean holdsMore() {
             return actualReadableBytes() > 0;
--- a/src/test/java/thistlefall/node/EdgeNodeTest.java
+++ b/src/test/java/thistlefall/node/EdgeNodeTest.java
@@ -478,6 +478,26 @@
         assertEquals("POST /tally/4?n=-2.25&keep_ms=4000 HTTP/1.1", counter.next().first());
     }
 
+    /** An answer that holds no number was added all the same, and its connection may no longer be trusted. */
+    @Test
+    void aTotalThatCannotBeReadEndsTheConnection() throws Exception {
+        for (String answer : List.of(Peer.ok("", "x"), Peer.ok("", "NaN"), Peer.ok("", "1f"), Peer.ok("", ""),
+            Peer.ok("no colon\r\n", "5"), "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")) {
+            Peer broken = peer(m -> m.answer(answer));
+            BlockingQueue<String> told = new LinkedBlockingQueue<>();
+            Config config = Config.parse(config().replace(counter.address(), broken.address())
+                .replace("\"count-wait-ns\": 50000000", "\"count-wait-ns\": 30000000000"));
+            try (var group = new CloseableGroup()) {
+                EventLoop loop = group.loops.next();
+                CounterClient client = loop.submit(() -> new CounterClient((name, outcome, total) ->
+                    told.add(name + " " + outcome), loop, config)).get();
+                loop.execute(() -> client.count(4, 1, 4_000_000_000L));
+                assertEquals("4 RESET", told.poll(60, TimeUnit.SECONDS), answer);
+                assertNotNull(broken.ended.poll(60, TimeUnit.SECONDS), answer);
+            }
+        }
+    }
+
     private record CloseableGroup(EventLoopGroup loops) implements AutoCloseable {
         CloseableGroup() {
             this(new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()));
