--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -17,7 +17,7 @@
     private static final long TICK = 10 * MS;
     /** How often fresh use is pushed, and for how long no call is answered by a counter that is silent. */
     private static final long PUSH = SECOND / 4, SILENT_AFTER = SECOND / 2;
-    /** Calls to the counter a second at first; their growth in a second without a long wait, and the step down. */
+    /** Calls to the counter a second at first; their growth in a second, and the step down at a long wait. */
     private static final double CALLS_START = 2, CALLS_UP = 2, CALLS_DOWN = 0.7;
     /** The operator's limit on concurrency: requests in flight for each listed server, over all gateways. */
     private static final double OPEN_PER_SERVER = 6;
