Listen at once after a start and be admitted when warmed up

The node listened only after its warm-up, so that what the front still sent after a restart failed, and a rolling restart had two nodes away at a time.

--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -42,6 +42,7 @@
     final ClientServer clients;
     private Config config;
     private Gateway gateway;
+    private volatile boolean admitted;
     private boolean inside;
 
     EdgeNode(Config config) {
@@ -138,9 +139,14 @@
         event(null, now -> gateway.list(now, kind, roll.members().stream().map(Config.Member::server).toList()));
     }
 
-    /** Whether discovery has been heard, or has been silent for so long that the known list must do. */
+    /** From now on the front may send here. */
+    void admit() {
+        admitted = true;
+    }
+
+    /** Whether clients are wanted, and discovery was heard or silent for so long that the known list must do. */
     boolean ready() {
-        return discovery.heard();
+        return admitted && discovery.heard();
     }
 
     /** The deadline that the module is told, for a client that waits {@code span} from now. */
--- a/src/main/java/thistlefall/node/Main.java
+++ b/src/main/java/thistlefall/node/Main.java
@@ -26,12 +26,14 @@
         }
         try {
             Config config = Config.read(Path.of(file));
-            WarmUp.run(config);
             EdgeNode node = new EdgeNode(config);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "stop"));
             Signal.handle(new Signal("HUP"), signal -> reload(node, file));
             node.start();
             System.out.println("serving on " + node.address());
+            // Whoever still comes after a restart is served meanwhile; the front sends all again when this is done.
+            WarmUp.run(config);
+            node.admit();
         } catch (Config.Invalid e) {
             exit(1, e.getMessage());
         } catch (Exception e) {
--- a/src/main/java/thistlefall/node/WarmUp.java
+++ b/src/main/java/thistlefall/node/WarmUp.java
@@ -15,7 +15,7 @@
 import thistlefall.Ports.Settings;
 
 /**
- * Has the JVM compile what a request passes through before the first client's comes. On a part of a core that
+ * Has the JVM compile what a request passes through before the front sends any. On a part of a core that
  * takes seconds, in which requests would wait longer than their answers are worth. The requests are made up and
  * go through an edge node of their own, on connections in memory: nothing listens, connects or leaves the process.
  */
@@ -24,7 +24,7 @@
     private static final int REQUESTS = 2_000, ROUND = 20;
     private static final String BODY = "x".repeat(512);
     /** On a small part of a core all of them take too long for a node that others are waiting for. */
-    private static final long MOST = TimeUnit.SECONDS.toNanos(4);
+    private static final long MOST = TimeUnit.MILLISECONDS.toNanos(2_500);
 
     private final Config config;
     private final EdgeNode node;
--- a/src/test/java/thistlefall/node/EdgeNodeTest.java
+++ b/src/test/java/thistlefall/node/EdgeNodeTest.java
@@ -158,6 +158,24 @@
         assertEquals(0, WarmUp.run(Config.parse(config())), "without a list there is nobody to serve");
     }
 
+    /** A node that did not listen before its warm-up was through lost what the front still sent after a restart. */
+    @Test
+    void aNodeThatIsNotAdmittedYetServesAndSaysSo() throws Exception {
+        discovery = peer(m -> m.answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+        EdgeNode node = node(peer(m -> m.answer(Peer.ok("", "x"))));
+        Socket client = client(node);
+        assertEquals("200", ask(client, "t-1"));
+        write(client, "GET /_health", Map.of(), "");
+        assertEquals("503", status(Peer.read(client)));
+        node.admit();
+        String health;
+        do {
+            write(client, "GET /_health", Map.of(), "");
+            health = status(Peer.read(client));
+        } while (health.equals("503"));
+        assertEquals("200", health);
+    }
+
     @Test
     void whatIsNoRequestIsTurnedAwayAtOnce() throws Exception {
         Peer server = peer(m -> m.answer(Peer.ok("", "x")));
