--- a/src/main/java/thistlefall/node/WarmUp.java
+++ b/src/main/java/thistlefall/node/WarmUp.java
@@ -24,7 +24,7 @@
     private static final int REQUESTS = 2_000, ROUND = 20;
     private static final String BODY = "x".repeat(512);
     /** On a small part of a core all of them take too long for a node that others are waiting for. */
-    private static final long MOST = TimeUnit.MILLISECONDS.toNanos(2_500);
+    private static final long MOST = TimeUnit.MILLISECONDS.toNanos(3_000);
 
     private final Config config;
     private final EdgeNode node;
