--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -347,8 +347,7 @@
         }
 
         private void refuse(Job job, double retryAfter) {
-            double most = cfg.limits().retryAfter() ? cfg.limits().maxRetryAfter() : 0;
-            out.refuse(job.request.id(), (long) Math.max(0, Math.min(most, retryAfter * SECOND)));
+            out.refuse(job.request.id(), advice(retryAfter));
             forget(job);
         }
 
@@ -909,12 +908,19 @@
         }
     }
 
+    /** After how long a refused client should come back, so far as the settings let it be told. */
+    private long advice(double seconds) {
+        long most = cfg.limits().retryAfter() ? cfg.limits().maxRetryAfter() : 0;
+        return (long) Math.min(most, Math.max(TICK, seconds * SECOND));
+    }
+
     /** The one final answer of a request that is not served: refused if that is true, else failed. */
     private void giveUp(Job job) {
         RequestClass spec = job.lane.spec;
         if (job.mayHaveRunSince == 0 || spec.repeat() == Repeat.SAFE
             || spec.repeat() == Repeat.KEYED && spec.group() == Group.ALL) {
-            out.refuse(job.request.id(), 0);
+            // Who comes back before what waits now is through only makes the wait longer.
+            out.refuse(job.request.id(), advice(job.lane.queue.size() * job.lane.service / control.level));
         } else {
             out.fail(job.request.id());
         }
--- a/src/test/java/thistlefall/Host.java
+++ b/src/test/java/thistlefall/Host.java
@@ -37,6 +37,7 @@
 
     final List<Sent> sent = new ArrayList<>();
     final List<String> refused = new ArrayList<>();
+    final List<Long> advised = new ArrayList<>();
     final List<String> failed = new ArrayList<>();
     final List<String> probed = new ArrayList<>();
     final List<Counted> counted = new ArrayList<>();
@@ -67,7 +68,7 @@
             new RequestClass(1000 * MS, 2000 * MS, Repeat.KEYED, Group.CELL, 700 * MS, 0.2, 4),
             new RequestClass(1000 * MS, 3000 * MS, Repeat.UNSAFE, Group.ALL, 0, 0.2, 3),
             new RequestClass(1000 * MS, 3000 * MS, Repeat.KEYED, Group.ALL, 700 * MS, 0, 4)),
-            List.of(plan), new Limits(4, 1000, probes, false, 0, false),
+            List.of(plan), new Limits(4, 1000, probes, true, 500 * MS, false),
             new Counter(counter, 50 * MS, true, 4), new Rules(10 * MS, 0.25, 10_000 * MS, 3, 2_000 * MS));
     }
 
@@ -124,6 +125,7 @@
     @Override
     public void refuse(String id, long retryAfter) {
         refused.add(id);
+        advised.add(retryAfter);
     }
 
     @Override
--- a/src/test/java/thistlefall/RulesTest.java
+++ b/src/test/java/thistlefall/RulesTest.java
@@ -181,6 +181,18 @@
         assertTrue(sends.get("z") < 0.6 * warm, "cold " + sends.get("z") + " against warm " + warm);
     }
 
+    /** A request that is given up is refused at once, and its client told when to come back. */
+    @Test
+    void whoIsGivenUpIsToldWhenToComeBack() {
+        Host host = new Host(Host.FREE, 1, 0, false).servers(1);
+        for (int i = 0; i < 200; i++) {
+            host.request(SAFE, 1);
+        }
+        assertTrue(host.refused.size() > 0, "the queue is too long");
+        host.pass(2_000 * MS);
+        assertTrue(host.advised.stream().allMatch(span -> span > 0 && span <= 500 * MS), "told " + host.advised);
+    }
+
     @Test
     void ceilingHoldsForAllGatewaysTogetherWithoutTheCounterAndOverARestart() {
         Plan plan = new Plan(5, 20, 0, 1, 0, 1, 8, 32, 4);
