--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -32,7 +32,7 @@
     /** How many servers each of as many gateways as servers looks at for a request; two are the least. */
     private static final int LOOK = 3;
     /** Further attempts per first one, how many may be saved up; the usual spans that a first one needs. */
-    private static final double RETRY_RATIO = 0.2, RETRY_MOST = 20, MARGIN = 1.5;
+    private static final double RETRY_RATIO = 0.2, RETRY_MOST = 20, MARGIN = 1.5, PATIENCE = 6;
 
     /** The values of a load report that tell how busy a server is; their life in seconds; how many stay. */
     private static final Set<String> LOADS = Set.of("waiting", "active", "cpu");
@@ -514,8 +514,10 @@
                 waitSum += (job.sentAt - job.arrived) * NANO;
                 services.add(took);
             } else if (result.outcome() != Outcome.CANCELLED && result.outcome() != Outcome.NOT_SENT) {
-                // A failure counts as slow, never as fast: errors must not open the concurrency loop.
-                services.add(Math.max(took, 2 * spec.aim() * NANO));
+                // A failure counts as slow, never as fast: errors must not open the concurrency loop. What
+                // was cut short to try another server was out for long already and counts as just that.
+                boolean cut = result.outcome() == Outcome.TIMEOUT && now < job.aimAt();
+                services.add(cut ? took : Math.max(took, 2 * spec.aim() * NANO));
             }
         }
     }
@@ -885,10 +887,15 @@
         out.send(job.request.id(), backend.id, patience(job));
     }
 
-    /** How long to wait: no longer than an answer is worth something. */
+    /** How long to wait: no longer than an answer is worth something, and a first time leave room for another. */
     private long patience(Job job) {
         long until = job.lane.spec.lateValue() <= 0 ? job.aimAt() : job.request.deadline();
-        return Math.max(MS, until - now);
+        // A silent server would cost the request; a slow one seldom takes so many usual spans.
+        long enough = (long) (PATIENCE * job.cost() * SECOND);
+        boolean another = job.attempts == 1 && job.lane.spec.repeat() != Repeat.UNSAFE
+            && inFlight < control.level && retryTokens >= RETRY_MOST / 2
+            && enough + (long) (2 * MARGIN * job.cost() * SECOND) < until - now;
+        return another ? enough : Math.max(MS, until - now);
     }
 
     /** After an attempt that did not end the request: another one, or the final answer. */
--- a/src/test/java/thistlefall/MechanismTest.java
+++ b/src/test/java/thistlefall/MechanismTest.java
@@ -311,6 +311,26 @@
         assertTrue(host.probed.size() >= 20, "each request probes, where one's own answers are rare");
     }
 
+    /** An attempt at a silent server once was waited for until its request was past its aim. */
+    @Test
+    void aSilentServerLeavesTimeForAnother() {
+        Host host = new Host(Host.FREE, 1, 0, false).servers(4);
+        for (int i = 0; i < 300; i++) {
+            String id = host.request(SAFE, 1);
+            host.pass(20 * MS);
+            host.end(id, Outcome.OK);
+        }
+        String id = host.request(SAFE, 1);
+        long patience = host.attempts(id).get(0).patience();
+        assertTrue(patience < 300 * MS, "waits " + patience);
+        host.pass(patience);
+        host.end(id, Outcome.TIMEOUT);
+        assertEquals(2, host.attempts(id).size());
+        assertTrue(host.attempts(id).get(1).patience() > 600 * MS, "the second may take what time is left");
+        String unsafe = host.request(Host.UNSAFE, 1);
+        assertTrue(host.attempts(unsafe).get(0).patience() > 900 * MS, "it cannot be sent again");
+    }
+
     @Test
     void oddInputIsAnswered() {
         Host host = new Host(Host.FREE, 1, 0, false);
