--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -887,7 +887,7 @@
         out.send(job.request.id(), backend.id, patience(job));
     }
 
-    /** How long to wait: while an answer is worth something, the first time so that another is still in time. */
+    /** How long to wait: while an answer is worth something; a first time so that another is in time. */
     private long patience(Job job) {
         long until = job.lane.spec.lateValue() <= 0 ? job.aimAt() : job.request.deadline();
         // A silent server would cost the request; a slow one seldom takes so many usual spans.
