--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -8,7 +8,7 @@
 /**
  * All decisions of one gateway: quotas, fair queue, controllers, choice of server, attempts, final answers.
  * Its types, events and actions stand in {@code Ports.java}. The mechanism is that of the Proteus paper
- * (see docs/design.md); each departure says at its place what it guards against.
+ * (see PAPER and DESIGN); each departure says at its place what it guards against.
  */
 public final class Gateway implements Ports.Events {
     private static final long MS = 1_000_000L, SECOND = 1_000 * MS;
--- a/src/main/java/thistlefall/node/Main.java
+++ b/src/main/java/thistlefall/node/Main.java
@@ -32,7 +32,12 @@
             node.start();
             System.out.println("serving on " + node.address());
             // Whoever still comes after a restart is served meanwhile; the front sends all again when this is done.
-            WarmUp.run(config);
+            try {
+                WarmUp.run(config);
+            } catch (Exception e) {
+                // A node that starts slowly is still one that serves.
+                EdgeNode.trouble("the warm-up", e);
+            }
             node.admit();
         } catch (Config.Invalid e) {
             exit(1, e.getMessage());
