Fit the budget of counter calls to its queue, not to the length of the way there

Ruled out: the node's own delay (a call is written 0.8 ms after it is made in the median); a full counter (9% turned away). At fault: Gateway.counted took any answer later than a third of its time-out (10 ms) for a queue, which this way there never meets. Harmless alone on a short way; with all nodes it leaves every quota divided.

--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -43,7 +43,9 @@
     private final Actions out;
     private final SplittableRandom random;
     private final long born;
-    private long now, nextControl, answeredAt, tokensAt, slowedAt, sentWorkAt, restUntil, raisedAt;
+    private long now, nextControl, answeredAt, tokensAt, sentWorkAt, restUntil, pacedAt;
+    /** The least wait for the counter, and the least since the budget of calls was fitted to it. */
+    private long leastWait, quickest = Long.MAX_VALUE;
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<Long, Customer> customers = new LinkedHashMap<>();
     private final Map<String, Backend> servers = new LinkedHashMap<>();
@@ -54,7 +56,7 @@
     private final Backend[] lastHeard = new Backend[RECENT];
     private final Lane[] lanes;
     private final Control control;
-    private int inFlight, heardCount;
+    private int inFlight, heardCount, heardCalls, lostCalls;
     private double retryTokens = RETRY_MOST, virtualTime, sentWork, usualStake, usualLoad;
     private boolean silent, denied, succeeded;
     private double callRate = CALLS_START, callTokens;
@@ -78,6 +80,8 @@
         control = new Control();
         answeredAt = now;
         tokensAt = now;
+        pacedAt = now;
+        leastWait = cfg.counter().timeout();
         callTokens = random.nextDouble(CALLS_START);
         nextControl = now + SECOND;
         out.timer(0, TICK);
@@ -267,18 +271,13 @@
         if (call == null) { return; }
         if (pending.isEmpty()) { calls.remove(name); }
         boolean answered = outcome == Outcome.OK;
-        boolean slow = !answered || now - call.at > cfg.counter().timeout() / 3;
-        // A full line outlasts the time-out, and no call is answered: back off at the first long wait.
-        if (slow && now - slowedAt > PUSH) {
-            callRate = Math.max(1, callRate * CALLS_DOWN);
-            slowedAt = now;
-            raisedAt = now;
-        } else if (!slow && denied) {
-            denied = false;
-            // By time, not by answer: a rate cut to one call a second would take minutes to come back.
-            callRate *= Math.pow(CALLS_UP, Math.min(1, (now - raisedAt) * NANO));
-            raisedAt = now;
-        }
+        long wait = answered ? now - call.at : cfg.counter().timeout();
+        // The way there and back is no queue, and creeps up to a longer one.
+        leastWait = Math.min(wait, leastWait + (wait - leastWait) / 1000);
+        quickest = Math.min(quickest, wait);
+        heardCalls++;
+        lostCalls += answered ? 0 : 1;
+        if (now - pacedAt >= PUSH) { pace(); }
         answeredAt = answered ? now : answeredAt;
         if (silent != now - answeredAt > SILENT_AFTER) {
             silent = !silent;
@@ -288,6 +287,24 @@
         dispatch();
     }
 
+    /**
+     * Fits the budget to the counter. A line that stands there holds up all calls of a while: one that took
+     * long alone was late here. A full line turns calls away or outlasts the time-out: back off well before.
+     */
+    private void pace() {
+        boolean stands = quickest > leastWait + (cfg.counter().timeout() - leastWait) / 3;
+        if (stands || lostCalls > heardCalls / 4) {
+            callRate = Math.max(1, callRate * CALLS_DOWN);
+        } else if (denied) {
+            // By time, not by answer: a rate cut to one call a second would take minutes to come back.
+            callRate *= Math.pow(CALLS_UP, Math.min(1, (now - pacedAt) * NANO));
+        }
+        denied = false;
+        quickest = Long.MAX_VALUE;
+        heardCalls = lostCalls = 0;
+        pacedAt = now;
+    }
+
     /** Takes a call from the budget: the emptier that is, the more must be at stake, in usual stakes. */
     private boolean mayCall(double stake) {
         double rate = silent ? 1 : callRate;
--- a/src/test/java/thistlefall/MechanismTest.java
+++ b/src/test/java/thistlefall/MechanismTest.java
@@ -239,6 +239,49 @@
         assertTrue(late >= 100, "calls in two seconds, eight after the counter is back: " + late);
     }
 
+    /** A long way to the counter once cut the budget to a call a second: each answer took over a third of its time. */
+    @Test
+    void aLongWayToTheCounterIsNoQueue() {
+        Host host = new Host(new Plan(10, 30, 0, 1, 0, 1, 0, 0, 0), 300, 0).servers(20);
+        int late = 0;
+        for (int tick = 0; tick < 500; tick++) {
+            for (int customer = 0; customer < 3; customer++) {
+                host.request(SAFE, 0, 3 * tick + customer, 2, host.now + 3000 * MS);
+            }
+            List<Host.Counted> calls = List.copyOf(host.counted);
+            host.counted.clear();
+            host.pass(20 * MS);
+            calls.forEach(call -> host.gateway.counted(host.now, call.name(), Outcome.OK, call.amount()));
+            List.copyOf(host.sent).forEach(s -> host.end(s.id(), Outcome.OK));
+            host.sent.clear();
+            late += tick >= 400 ? calls.size() : 0;
+        }
+        assertTrue(late >= 40, "calls in the last two seconds of ten: " + late);
+    }
+
+    /** One part of a counter may be full while another answers at once. */
+    @Test
+    void callsTurnedAwayCutTheBudgetThoughOthersAreAnsweredAtOnce() {
+        Host host = new Host(new Plan(10, 30, 0, 1, 0, 1, 0, 0, 0), 300, 0).servers(20);
+        int late = 0;
+        for (int tick = 0; tick < 500; tick++) {
+            for (int customer = 0; customer < 3; customer++) {
+                host.request(SAFE, 0, 3 * tick + customer, 2, host.now + 3000 * MS);
+            }
+            List<Host.Counted> calls = List.copyOf(host.counted);
+            host.counted.clear();
+            host.pass(20 * MS);
+            for (Host.Counted call : calls) {
+                Outcome outcome = call.name() % 2 == 0 ? Outcome.FULL : Outcome.OK;
+                host.gateway.counted(host.now, call.name(), outcome, call.amount());
+            }
+            List.copyOf(host.sent).forEach(s -> host.end(s.id(), Outcome.OK));
+            host.sent.clear();
+            late += tick >= 400 ? calls.size() : 0;
+        }
+        assertTrue(late >= 2 && late <= 40, "calls in the last two seconds of ten: " + late);
+    }
+
     @Test
     void aCustomerNeverHeardOfIsAskedForFirst() {
         Plan plan = new Plan(10, 30, 0, 1, 0, 1, 0, 0, 0);
@@ -258,12 +301,15 @@
     void scarceCallsGoWhereMoreIsAtStake() {
         Host host = new Host(new Plan(10, 30, 0, 1, 0, 1, 0, 0, 0), 300, 0).servers(20);
         int[] calls = new int[5];
+        boolean first = true;
         for (int tick = 0; tick < 2000; tick++) {
             // Each customer once, of 1 or 4 units in turn; far more of them than calls.
             int units = tick % 2 == 0 ? 1 : 4;
+            host.pass(first ? 20 * MS : 0);
             String id = host.request(SAFE, 0, tick, units, host.now + 3000 * MS);
-            // Every answer is slow: the budget stays small.
-            host.pass(20 * MS);
+            // The first call takes no time, every other one does: the budget stays small.
+            host.pass(first ? 0 : 20 * MS);
+            first &= host.counted.isEmpty();
             for (Host.Counted call : List.copyOf(host.counted)) {
                 calls[(int) Math.max(0, call.amount())]++;
                 host.gateway.counted(host.now, call.name(), Outcome.OK, call.amount());
