Call the counter first for what is beyond a node's own part of a quota

Calls went to any request whose customer had not been heard of for a second, which with traffic this thin is nearly every one; who was refused for want of a call had its quota divided by 7 to 14 nodes, though customers come unevenly. Totals were scaled up by the part of the use that is told, so heavy customers, who tell all, were held to two thirds of their quota.

Ruled out: the counter's answers (told with room and let in: 492 of 720). At fault: Customer.admit (stake blind to what is safe anyway), divide (one moment's store, not a part that fills), learn (scaling), counted (silence counted from the last answer: with calls this rare one call turned away was a silence, and cut the calls to one a second). A node now keeps its own part of each quota, twice the even one while the counter answers; what fits into it needs a call least. A silence counts from its first unanswered call.

--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -18,6 +18,8 @@
     /** How often fresh use is pushed, and for how long no call is answered by a counter that is silent. */
     private static final long PUSH = SECOND / 4, SILENT_AFTER = SECOND / 2;
     /** Calls to the counter a second at first; their growth in a second, and the step down at a long wait. */
+    /** Customers come unevenly: a gateway's part of a quota while the counter answers, in even parts. */
+    private static final double UNEVEN = 2;
     private static final double CALLS_START = 2, CALLS_UP = 2, CALLS_DOWN = 0.7;
     /** The operator's limit on concurrency: requests in flight for each listed server, over all gateways. */
     private static final double OPEN_PER_SERVER = 6;
@@ -43,9 +45,9 @@
     private final Actions out;
     private final SplittableRandom random;
     private final long born;
-    private long now, nextControl, answeredAt, tokensAt, sentWorkAt, restUntil, pacedAt;
+    private long now, nextControl, tokensAt, sentWorkAt, restUntil, pacedAt;
     /** The least wait for the counter, and the least since the budget of calls was fitted to it. */
-    private long leastWait, quickest = Long.MAX_VALUE;
+    private long leastWait, quickest = Long.MAX_VALUE, unansweredSince = Long.MAX_VALUE;
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<Long, Customer> customers = new LinkedHashMap<>();
     private final Map<String, Backend> servers = new LinkedHashMap<>();
@@ -60,8 +62,6 @@
     private double retryTokens = RETRY_MOST, virtualTime, sentWork, usualStake, usualLoad;
     private boolean silent, denied, succeeded;
     private double callRate = CALLS_START, callTokens;
-    /** For each plan the units taken and those of them told to the counter, as of late. */
-    private final double[] taken, told;
     /** Customers with something to push. */
     private final Set<Customer> active = new LinkedHashSet<>();
     private final Map<Long, ArrayDeque<Call>> calls = new LinkedHashMap<>();
@@ -75,10 +75,7 @@
         this.now = now;
         lanes = new Lane[cfg.classes().size()];
         for (int i = 0; i < lanes.length; i++) { lanes[i] = new Lane(cfg.classes().get(i)); }
-        taken = new double[cfg.plans().size()];
-        told = new double[taken.length];
         control = new Control();
-        answeredAt = now;
         tokensAt = now;
         pacedAt = now;
         leastWait = cfg.counter().timeout();
@@ -273,16 +270,13 @@
         boolean answered = outcome == Outcome.OK;
         long wait = answered ? now - call.at : cfg.counter().timeout();
         // The way there and back is no queue, and creeps up to a longer one.
-        leastWait = Math.min(wait, leastWait + (wait - leastWait) / 1000);
+        leastWait = Math.min(wait, leastWait + (wait - leastWait) / 100);
         quickest = Math.min(quickest, wait);
         heardCalls++;
         lostCalls += answered ? 0 : 1;
         if (now - pacedAt >= PUSH) { pace(); }
-        answeredAt = answered ? now : answeredAt;
-        if (silent != now - answeredAt > SILENT_AFTER) {
-            silent = !silent;
-            out.log(silent ? "counter silent: quotas divided over gateways" : "counter answers again");
-        }
+        unansweredSince = answered ? Long.MAX_VALUE : unansweredSince;
+        noticeSilence();
         call.customer.counted(call, outcome, total);
         dispatch();
     }
@@ -305,6 +299,14 @@
         pacedAt = now;
     }
 
+    /** Counts from the first call of a silence: where calls are rare the last answer may be long ago. */
+    private void noticeSilence() {
+        if (silent != now - SILENT_AFTER > unansweredSince) {
+            silent = !silent;
+            out.log(silent ? "counter silent: quotas divided over gateways" : "counter answers again");
+        }
+    }
+
     /** Takes a call from the budget: the emptier that is, the more must be at stake, in usual stakes. */
     private boolean mayCall(double stake) {
         double rate = silent ? 1 : callRate;
@@ -344,6 +346,7 @@
         now = at;
         out.timer(0, TICK);
         for (Lane lane : lanes) { expire(lane.queue); }
+        noticeSilence();
         // A host that never ends a call must not cost a request its answer.
         long due = now - 2 * cfg.counter().timeout();
         for (ArrayDeque<Call> line : calls.values()) {
@@ -373,7 +376,8 @@
         private double mine, others;
         /** The quota's store as estimated here; the others' use: its rate, and what was foreseen of it. */
         private double store, othersRate, foreseen, unpushed, ceiling;
-        private boolean deaf;
+        /** What this gateway may let in without news of the others: its part, one request at least. */
+        private double part;
         private int open;
 
         Customer(long key, int place, int setSize) {
@@ -383,6 +387,7 @@
             gateways = Math.max(1, Math.min(setSize, cfg.siblings()));
             shared = gateways > 1 && cfg.counter().present();
             store = plan.burst();
+            part = mostPart(1);
             // In one burst's span a steady customer is given just one burst: the running total alone tells a
             // gateway that never heard of it. Spans of different customers begin at different moments.
             double full = plan.rate() > 0 ? plan.burst() / plan.rate() : 1;
@@ -398,21 +403,27 @@
         void refill() {
             double s = (now - refilled) * NANO;
             refilled = now;
-            // Totals feed an estimate: between them the others go on as they did; unheard of, it is divided.
-            double others = s * Math.min(plan.rate() * (deaf ? 1 - 1.0 / gateways : 1),
-                deaf ? plan.rate() : othersRate);
+            // Totals feed an estimate: between them the others go on as they did.
+            double others = s * Math.min(plan.rate(), othersRate);
             foreseen += others;
             store = Math.min(plan.burst(), store + s * plan.rate() - others);
+            double uneven = silent ? 1 : UNEVEN;
+            part = Math.min(mostPart(uneven), part + s * uneven * plan.rate() / gateways);
             double more = succeeded ? 0 : s * plan.ceilingRate() / gateways;
             ceiling = Math.min(plan.ceilingBurst() / gateways, ceiling + more);
         }
 
+        private double mostPart(double uneven) {
+            double share = uneven * plan.burst() / gateways;
+            return Math.min(plan.burst(), Math.max(share, cfg.counter().largest()));
+        }
+
         /** The successor has all of it, and of what the ceiling allows now a half; nothing is told twice. */
         Use handOver() {
             refill();
             ceiling /= 2;
             Use use = new Use(key, place, gateways, window, mine, others, store, othersRate, foreseen,
-                unpushed, ceiling, deaf ? Long.MIN_VALUE : heard);
+                unpushed, ceiling, heard);
             unpushed = 0;
             return use;
         }
@@ -430,7 +441,6 @@
             foreseen = use.foreseen();
             unpushed += use.unpushed();
             ceiling = Math.min(plan.ceilingBurst() / gateways, ceiling + use.ceiling());
-            deaf = use.heard() == Long.MIN_VALUE;
             heard = Math.max(heard, use.heard());
             usedAt = now;
             active.add(this);
@@ -456,28 +466,23 @@
                 * gateways / cfg.siblings() * (job.request.repeat() ? 0.3 : 1);
             usualStake += 0.02 * (stake - usualStake);
             stake /= Math.max(1e-9, usualStake);
+            // What fits into this gateway's part is seldom beyond: others may need the call more.
+            stake *= part >= units ? 0.3 : 1;
             if (old && now + 2 * cfg.counter().timeout() < job.aimAt() && mayCall(stake)) {
                 job.asking = true;
                 call(job);
             } else {
-                if (gateways > 1 && now - heard > span) { divide(); }
-                boolean doubtful = deaf && job.request.repeat() && plan.burst() / gateways < units;
-                decide(job, doubtful ? Double.MAX_VALUE : othersRate * PUSH * NANO);
-            }
-        }
-
-        /** Without news the quota is divided; parts under one request would refuse all who come so rarely. */
-        private void divide() {
-            if (!deaf && store > 0) {
-                store = Math.max(store / gateways, Math.min(store, cfg.counter().largest()));
+                decide(job, false);
             }
-            deaf = true;
         }
 
-        private void decide(Job job, double keptBack) {
+        /** By the total just told, by the estimate, or, without news, by this gateway's part of the quota. */
+        private void decide(Job job, boolean told) {
             double units = job.request.units();
-            job.inQuota = plan.rate() <= 0 || store >= keptBack;
-            if (!job.inQuota) { take(-units); }
+            boolean deaf = gateways > 1 && now - heard > span;
+            job.inQuota = plan.rate() <= 0 || (deaf ? part >= units
+                : store >= (told ? 0 : othersRate * PUSH * NANO));
+            if (job.inQuota) { part = Math.max(0, part - units); } else { take(-units); }
             if (job.inQuota || plan.beyondEarns() > plan.beyondCosts()) {
                 enqueue(job);
             } else {
@@ -492,8 +497,6 @@
 
         void take(double units) {
             if (plan.rate() > 0) {
-                taken[place] = 0.99 * taken[place] + Math.max(0, units);
-                told[place] *= 0.99;
                 unpushed += units;
                 store -= units;
                 usedAt = now;
@@ -517,7 +520,7 @@
             if (window != index) { mine = others = 0; }
             window = index;
             double amount = Math.rint(unpushed * 1e6) * 1e-6;
-            told[place] += amount;
+            unansweredSince = Math.min(unansweredSince, now);
             pushAt = now + (store < plan.burst() / 2 ? PUSH : SECOND);
             unpushed = 0;
             long name = mix(mix(key) + index) >>> 1;
@@ -529,7 +532,6 @@
         void counted(Call call, Outcome outcome, double total) {
             if (outcome.provesNeverRan()) {
                 unpushed += call.amount;
-                told[place] -= call.amount;
                 active.add(this);
             } else if (call.window == window) {
                 // Without an answer it may have been added; if not, the next total looks like lost counts.
@@ -547,7 +549,7 @@
             if (job.over) {
                 forget(job);
             } else {
-                decide(job, answered ? 0 : othersRate * PUSH * NANO);
+                decide(job, answered);
             }
         }
 
@@ -559,17 +561,13 @@
                 others = 0;
                 theirs = Math.max(0, total - call.amount);
             }
-            // Where calls are scarce only a part of the use is told; the others' part is taken to be as ours.
-            double least = 2 * cfg.counter().largest();
-            double part = (Math.max(0, told[place]) + least) / (taken[place] + least);
             if (now - heard > span) {
                 // The estimate is too old: in one span a full store and this window's total tell more.
                 store = plan.burst() - mine - unpushed;
                 foreseen = 0;
             }
-            double news = (theirs - others) / Math.min(1, Math.max(0.1, part));
+            double news = theirs - others;
             others = theirs;
-            deaf = false;
             long since = Math.max(heard, window * span - phase);
             double s = Math.max(0.05, (now - since) * NANO);
             heard = now;
--- a/src/test/java/thistlefall/MechanismTest.java
+++ b/src/test/java/thistlefall/MechanismTest.java
@@ -282,6 +282,38 @@
         assertTrue(late >= 2 && late <= 40, "calls in the last two seconds of ten: " + late);
     }
 
+    /** Requests that fit into this gateway's part of a quota once had the calls that others needed. */
+    @Test
+    void scarceCallsGoToRequestsBeyondThisGatewaysPart() {
+        Host host = new Host(new Plan(2, 20, 0, 1, 0, 1, 0, 0, 0), 10, 0).servers(20);
+        int[] asked = new int[2];
+        for (int customer = 0; customer < 500; customer++) {
+            // 4 units at a time, of a part of 4: the second is beyond it.
+            for (int i = 0; i < 2 && host.counted.isEmpty(); i++) {
+                host.request(SAFE, 0, customer, 4, host.now + 3000 * MS);
+                List.copyOf(host.sent).forEach(s -> host.end(s.id(), Outcome.OK));
+                host.sent.clear();
+                asked[i] += host.counted.size();
+            }
+            host.pass(20 * MS);
+            host.counted.forEach(call -> host.gateway.counted(host.now, call.name(), Outcome.OK, call.amount()));
+            host.counted.clear();
+        }
+        assertTrue(asked[1] > asked[0], "calls by request: " + Arrays.toString(asked));
+    }
+
+    @Test
+    void oneCallTurnedAwayAfterAPauseIsNoSilence() {
+        Host host = new Host(new Plan(10, 30, 0, 1, 0, 1, 0, 0, 0), 3, 0).servers(20);
+        host.pass(5000 * MS);
+        host.request(SAFE, 1);
+        host.pass(10 * MS);
+        host.gateway.counted(host.now, host.counted.get(0).name(), Outcome.FULL, 0);
+        assertEquals(List.of(), host.logs);
+        host.pass(1000 * MS);
+        assertTrue(host.logs.stream().anyMatch(line -> line.startsWith("counter silent")), "noticed: " + host.logs);
+    }
+
     @Test
     void aCustomerNeverHeardOfIsAskedForFirst() {
         Plan plan = new Plan(10, 30, 0, 1, 0, 1, 0, 0, 0);
