--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -315,7 +315,7 @@
         }
         // No deadline binds what follows, and the server has done its work.
         cancelBackstop(of);
-        tellEnd(of, Outcome.OK, took, server, 0);
+        tellEnd(of, Outcome.OK, took, server, 0, List.of());
         of.attemptOut = false;
         settle(of);
         return answers.begun(length, gone);
@@ -348,7 +348,8 @@
     }
 
     /** An attempt ended; {@code body} is an app server's whole 200 answer, and stays the caller's. */
-    void attemptEnded(OpenRequest of, Outcome outcome, long took, String server, double units, ByteBuf body) {
+    void attemptEnded(OpenRequest of, Outcome outcome, long took, String server, double units, List<Double> report,
+                      ByteBuf body) {
         of.attemptOut = false;
         if (outcome == Outcome.OK) {
             OpenRequest.Answers answers = answerOnce(of, Ending.PASSED);
@@ -356,15 +357,16 @@
                 answers.served(body);
             }
         }
-        tellEnd(of, outcome, took, server, units);
+        tellEnd(of, outcome, took, server, units, report);
         settle(of);
     }
 
-    private void tellEnd(OpenRequest of, Outcome outcome, long took, String server, double units) {
+    private void tellEnd(OpenRequest of, Outcome outcome, long took, String server, double units,
+                         List<Double> report) {
         boolean complete = of.answered;
         int attempt = of.attempts - 1;
         event(of, now -> gateway.attemptEnded(now,
-            new Result(of.request.id(), outcome, took, server, complete, attempt, units, List.of())));
+            new Result(of.request.id(), outcome, took, server, complete, attempt, units, report)));
     }
 
     /** The one place that settles how a request ends; null if that is settled already. */
