Look again at a new configuration that cannot be read at SIGHUP

There are no logs of it and it did not come back, so the cause is not proven. What can be shown without the bench: a file still being written at the signal left the node at its old addresses for ever (Main.reload gave up at the first Config.Invalid), and two signals close together could be followed in the wrong order.

The file is looked at again for 2 s, one signal at a time.

--- a/src/main/java/thistlefall/node/Main.java
+++ b/src/main/java/thistlefall/node/Main.java
@@ -7,6 +7,9 @@
 
 /** The program: {@code serve} runs a real edge node, {@code drill} the decisions on the simulator's wire. */
 public final class Main {
+    /** How often a new configuration that cannot be used is looked at again, and how soon. */
+    private static final int LOOKS = 20, LOOK_MS = 100;
+
     private Main() {
     }
 
@@ -65,12 +68,26 @@
         }
     }
 
-    /** On SIGHUP the file may name other addresses; one that cannot be used leaves all as it is. */
-    private static void reload(EdgeNode node, String file) {
-        try {
-            node.move(Config.read(Path.of(file)));
-        } catch (Config.Invalid e) {
-            System.err.println("the configuration stays as it was: " + e.getMessage());
+    /**
+     * On SIGHUP the file may name other addresses; one that cannot be used leaves all as it is. It may still be being
+     * written, and no second signal comes for it. One signal at a time: the file as read last is the one to follow.
+     */
+    static synchronized void reload(EdgeNode node, String file) {
+        for (int look = 1; look <= LOOKS; look++) {
+            try {
+                node.move(Config.read(Path.of(file)));
+                return;
+            } catch (Config.Invalid e) {
+                if (look == 1) {
+                    System.err.println("the configuration stays as it was: " + e.getMessage());
+                }
+            }
+            try {
+                Thread.sleep(LOOK_MS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
         }
     }
 
--- a/src/test/java/thistlefall/node/EdgeNodeTest.java
+++ b/src/test/java/thistlefall/node/EdgeNodeTest.java
@@ -12,6 +12,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -379,6 +381,35 @@
         assertEquals(0, process.waitFor());
     }
 
+    /** A file that was still being written at the signal once left the node at the old addresses to its end. */
+    @Test
+    void aConfigurationThatIsHalfWrittenIsReadAgain() throws Exception {
+        CompletableFuture<Void> never = new CompletableFuture<>();
+        EdgeNode node = start(config());
+        discovery = peer(m -> never.join());
+        String whole = config();
+        Path file = Files.createTempFile("node", ".json");
+        Files.writeString(file, whole.substring(0, whole.length() / 2));
+        PrintStream before = System.err;
+        System.setErr(new PrintStream(before, true) {
+            @Override
+            public void println(String line) {
+                super.println(line);
+                try {
+                    Files.writeString(file, whole);
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }
+        });
+        try {
+            Main.reload(node, file.toString());
+        } finally {
+            System.setErr(before);
+        }
+        assertTrue(discovery.next().first().contains("watch=1"));
+    }
+
     /** The body of an error once was read as a list, because a close does not stop what was read already. */
     @Test
     void anErrorOfDiscoveryIsNoList() throws Exception {
