--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -41,8 +41,6 @@
     /** The values of a load report that tell how busy a server is; their life in seconds; how many stay. */
     private static final Set<String> LOADS = Set.of("waiting", "active", "cpu");
     private static final int REPORT_S = 1, RECENT = 6;
-    /** The part of its distance from the usual load that a report of an answer counts. */
-    private static final double HEARSAY = 0.3;
     private final Settings cfg;
     private final Actions out;
     private final SplittableRandom random;
@@ -212,8 +210,6 @@
         // A level under one is kept over time: hundreds with one out each may be too many for a small fleet.
         restUntil = now + (long) (result.took() * Math.max(0, 1 / control.level - 1));
         backend.ended(job, result);
-        // Many are told alike, and late: such a report counts a part, and only where own answers are rare.
-        if (!result.report().isEmpty() && rare(job)) { backend.told(load(result.report()), HEARSAY); }
         job.lane.observe(job, result);
         boolean told = cfg.counter().settles() && result.trueUnits() > 0;
         if (told && result.outcome() == Outcome.OK && job.inQuota) {
@@ -328,24 +324,20 @@
         Backend backend = servers.get(id);
         if (backend == null) { return; }
         // A server that keeps its load to itself, or does not answer, is not idle.
-        backend.told(report.isEmpty() ? 1 + 2 * usualLoad : load(report), 1);
-        lastHeard[heardCount++ % RECENT] = backend;
-    }
-
-    private double load(List<Double> report) {
-        double load = 0;
+        double load = report.isEmpty() ? 1 + 2 * usualLoad : 0;
         for (int i = 0; i < Math.min(report.size(), cfg.reports().size()); i++) {
             load += LOADS.contains(cfg.reports().get(i)) ? report.get(i) : 0;
         }
-        return load;
+        usualLoad += 0.05 * (load - usualLoad);
+        backend.load = load;
+        backend.reported = now;
+        lastHeard[heardCount++ % RECENT] = backend;
     }
 
-    /** Whether own answers come less than once a second from each server. */
-    private boolean rare(Job job) { return sentWork < job.cost() * listed.size(); }
-
-    /** Where own answers are rare, each request probes a server by chance. */
+    /** Where own answers come less than once a second from each server, each request probes one by chance. */
     private void probe(Job job) {
-        if (rare(job) && cfg.limits().probes() && !cfg.reports().isEmpty()) {
+        boolean rare = sentWork < job.cost() * listed.size();
+        if (rare && cfg.limits().probes() && !cfg.reports().isEmpty()) {
             out.probe(listed.get(random.nextInt(listed.size())).id);
         }
     }
@@ -961,12 +953,6 @@
             return entry.zone() == cfg.zone() ? s : s * 1.05;
         }
 
-        void told(double busy, double part) {
-            usualLoad += 0.05 * (busy - usualLoad);
-            load = usualLoad + part * (busy - usualLoad);
-            reported = now;
-        }
-
         void ended(Job job, Result result) {
             outstanding.remove(job);
             Outcome o = result.outcome();
--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -315,7 +315,7 @@
         }
         // No deadline binds what follows, and the server has done its work.
         cancelBackstop(of);
-        tellEnd(of, Outcome.OK, took, server, 0, List.of());
+        tellEnd(of, Outcome.OK, took, server, 0);
         of.attemptOut = false;
         settle(of);
         return answers.begun(length, gone);
@@ -348,8 +348,7 @@
     }
 
     /** An attempt ended; {@code body} is an app server's whole 200 answer, and stays the caller's. */
-    void attemptEnded(OpenRequest of, Outcome outcome, long took, String server, double units, List<Double> report,
-                      ByteBuf body) {
+    void attemptEnded(OpenRequest of, Outcome outcome, long took, String server, double units, ByteBuf body) {
         of.attemptOut = false;
         if (outcome == Outcome.OK) {
             OpenRequest.Answers answers = answerOnce(of, Ending.PASSED);
@@ -357,16 +356,15 @@
                 answers.served(body);
             }
         }
-        tellEnd(of, outcome, took, server, units, report);
+        tellEnd(of, outcome, took, server, units);
         settle(of);
     }
 
-    private void tellEnd(OpenRequest of, Outcome outcome, long took, String server, double units,
-                         List<Double> report) {
+    private void tellEnd(OpenRequest of, Outcome outcome, long took, String server, double units) {
         boolean complete = of.answered;
         int attempt = of.attempts - 1;
         event(of, now -> gateway.attemptEnded(now,
-            new Result(of.request.id(), outcome, took, server, complete, attempt, units, report)));
+            new Result(of.request.id(), outcome, took, server, complete, attempt, units, List.of())));
     }
 
     /** The one place that settles how a request ends; null if that is settled already. */
--- a/src/main/java/thistlefall/node/ServerPool.java
+++ b/src/main/java/thistlefall/node/ServerPool.java
@@ -57,7 +57,6 @@
     private final Map<String, Endpoint> endpoints = new HashMap<>();
     private final long idleLimit;
     private final int sockets;
-    private final List<String> reports;
     private int most;
     private int connections;
 
@@ -67,7 +66,6 @@
         // Well before the app server does: a request written to a connection that it closes ends as a reset.
         idleLimit = config.keepAlive() / 2;
         sockets = config.sockets();
-        reports = config.settings().reports();
         share(1);
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.RECVBUF_ALLOCATOR, reads())
@@ -149,7 +147,7 @@
         private final long startedAt;
         private final ArrayDeque<Connection> idle = new ArrayDeque<>();
         private final Set<Attempt> connecting = new LinkedHashSet<>();
-        private boolean retired, reportsOddly;
+        private boolean retired;
 
         Endpoint(Config.Member member) {
             address = member.address();
@@ -279,8 +277,6 @@
         private boolean written, over;
         private Connection on;
         private Future<?> expiry;
-        /** The load report that came with the answer. */
-        private List<Double> report = List.of();
 
         Attempt(OpenRequest of, String server, long patience) {
             this.of = of;
@@ -320,7 +316,7 @@
                 of.upload.leave();
             }
             if (!passed) {
-                node.attemptEnded(of, outcome, System.nanoTime() - sentAt, server, units, report, body);
+                node.attemptEnded(of, outcome, System.nanoTime() - sentAt, server, units, body);
             }
         }
 
@@ -517,7 +513,6 @@
             } else {
                 channel.close();
             }
-            answered.report = report(head);
             Outcome outcome = outcome(head);
             if (passed) {
                 answered.of.passedAnswer().ended(true);
@@ -535,17 +530,6 @@
             return neverRan ? Outcome.FULL : Outcome.ERROR;
         }
 
-        private List<Double> report(HttpResponse answer) {
-            String text = answer.headers().get(LoadReport.HEADER);
-            List<Double> report = LoadReport.read(text, reports);
-            if (text != null && report.isEmpty() && !reports.isEmpty() && !endpoint.reportsOddly) {
-                // Once for each run of a server: it may go on so with every answer.
-                endpoint.reportsOddly = true;
-                System.err.println("a load report of " + endpoint.address + " is dropped: " + text);
-            }
-            return report;
-        }
-
         private double units(HttpResponse answer) {
             String charged = answer.headers().get("X-Units-Charged");
             try {
