--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -194,6 +194,13 @@
         dispatch();
     }
 
+    @Override public void turnedAway(long at, Request request) {
+        now = at;
+        // All that are turned away in a surge must not come back together.
+        double most = Math.min(2, cfg.limits().maxRetryAfter() * NANO);
+        out.refuse(request.id(), advice(most * (0.5 + random.nextDouble() / 2)));
+    }
+
     private void enqueue(Job job) {
         job.lane.queue.add(job);
         relieve(job.lane);
--- a/src/main/java/thistlefall/Ports.java
+++ b/src/main/java/thistlefall/Ports.java
@@ -221,6 +221,9 @@
         /** A request came in; exactly one final answer is owed. */
         void request(long now, Request request);
 
+        /** A request came in that the host has no room to carry: it is refused. */
+        void turnedAway(long now, Request request);
+
         /** An attempt is over; each attempt ends exactly once. */
         void attemptEnded(long now, Result result);
 
--- a/src/main/java/thistlefall/node/ClientServer.java
+++ b/src/main/java/thistlefall/node/ClientServer.java
@@ -1,6 +1,5 @@
 package thistlefall.node;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -8,14 +7,11 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -36,104 +32,97 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.cookie.Cookie;
 import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
+import io.netty.handler.ssl.SslCloseCompletionEvent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
-import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import thistlefall.Ports.Repeat;
 import thistlefall.Ports.Request;
 import thistlefall.node.Figures.Ending;
-
-/** The listening side: reads clients' requests, turns away what is none, and writes the answers. */
+import thistlefall.node.connections.Budget;
+import thistlefall.node.connections.Carrier;
+import thistlefall.node.connections.Clients;
+import thistlefall.node.connections.HeldBytes;
+import thistlefall.node.connections.Listener;
+import thistlefall.node.connections.Tls;
+
+/**
+ * The clients' side: reads their requests, turns away what is none, and writes the answers. Which connections there are,
+ * and for how long, is for the {@link Clients} table.
+ */
 final class ClientServer {
     private static final long MAX_CUSTOMER = 1L << 33;
-    private static final int BACKLOG = 512;
-    /** A peer that brings no whole head in this time is owed a close; clients take 2 s, and 3 s are the limit. */
-    private static final long HEAD_MS = 2_400;
-    /** A body that is held may pause for so long, and comes with so many bytes a millisecond or more. */
-    private static final long PAUSE_MS = 1_500, LUMP_MS = 600, LEAST_RATE = 48;
-    private static final long LOOK_MS = 200, LINGER_MS = 1_000;
+    private static final long LOOK_MS = 200, LINGER_MS = 1_000, GRACE_MS = Clients.DRAIN_GRACE / 1_000_000;
+    /** How soon a client that ended its sending is asked once more whether it is still there. */
+    private static final long ASK_AGAIN_MS = 10;
     /** The longest body that is taken. */
     private static final long MOST_LONG = 32L << 20;
     private static final int FIRST_PIECE = 512;
-    /** How long connections go on coming in a drain (0.4 s at most), and some more. */
-    private static final long DRAIN_GRACE_MS = 600;
-    private static final int CLOSE_AT_ONCE = 4;
     private static final double MOST_UNITS = 1e6;
 
     private final EdgeNode node;
     private final EventLoop loop;
     private final Config config;
-    private final Set<Session> sessions = new LinkedHashSet<>();
-    private int most;
-    private ServerSocketChannel socket;
-    private Channel listening;
+    private final Clients table;
+    private final Listener listener;
+    /** Null where clients' connections are plain. */
+    private final Tls tls;
     private volatile boolean draining;
     /** The end of the grace time, in which connections go on coming. */
     private Future<?> grace;
     private CompletableFuture<Void> drained;
     private volatile boolean succeeded;
 
-    ClientServer(EdgeNode node, EventLoop loop, Config config) {
+    ClientServer(EdgeNode node, EventLoop loop, Config config) throws IOException {
         this.node = node;
         this.loop = loop;
         this.config = config;
-        share(1);
-        loop.scheduleAtFixedRate(this::endSilent, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        table = new Clients(() -> Listener.afterNextSelect(loop, () -> table().step(System.nanoTime())), node.counts);
+        listener = new Listener(loop, this::exhausted);
+        tls = config.tls() == null ? null : new Tls(config.tls(), node.counts);
+        loop.scheduleAtFixedRate(() -> table.look(System.nanoTime()), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private Clients table() {
+        return table;
     }
 
-    private void endSilent() {
-        long now = System.nanoTime();
-        List.copyOf(sessions).forEach(session -> session.endIfSilent(now));
+    /** Follows a new budget. */
+    void bound(Budget budget) {
+        table.bound(System.nanoTime(), budget);
     }
 
-    /** Half of the descriptors, over all processes; app servers have three eighths, the rest is the processes' own. */
-    void share(int processes) {
-        most = Math.max(8, config.sockets() / 2 / processes);
+    /** No descriptor is left, whatever the budget says: clients give up some of theirs. */
+    void exhausted() {
+        if (table.exhausted(System.nanoTime())) {
+            EdgeNode.trouble("clients", new IOException("no descriptor is left at " + table.open() + " connections"));
+        }
     }
 
     CompletableFuture<Void> bind() {
-        CompletableFuture<Void> bound = new CompletableFuture<>();
-        try {
-            socket = ServerSocketChannel.open();
-        } catch (IOException e) {
-            return CompletableFuture.failedFuture(e);
-        }
-        new ServerBootstrap().group(loop).channelFactory(() -> new NioServerSocketChannel(socket))
-            // Both processes of an upgrade listen at this address.
-            .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.RECVBUF_ALLOCATOR, ServerPool.reads())
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(handlers());
-                }
-            })
-            .bind(config.listen()).addListener((ChannelFutureListener) done -> {
-                listening = done.channel();
-                if (done.isSuccess()) {
-                    bound.complete(null);
-                } else {
-                    bound.completeExceptionally(done.cause());
-                }
-            });
-        return bound;
+        return listener.bind(config.listen(), true, channel -> {
+            RequestDecoder decoder = new RequestDecoder();
+            Session session = new Session(decoder);
+            if (tls != null) {
+                channel.pipeline().addLast(tls.gate(() -> session.entry.secured()));
+            }
+            channel.pipeline().addLast(decoder, new HttpResponseEncoder(), session);
+        });
+    }
+
+    void close() {
+        if (tls != null) {
+            tls.close();
+        }
     }
 
     /** What stands on a client's connection. */
@@ -160,7 +149,7 @@
     }
 
     InetSocketAddress address() {
-        return (InetSocketAddress) listening.localAddress();
+        return listener.address();
     }
 
     /** Whether the front is told to send nobody; any thread. */
@@ -178,11 +167,12 @@
             return on;
         }
         if (on && !draining) {
-            grace = loop.schedule(this::closeIdle, DRAIN_GRACE_MS, TimeUnit.MILLISECONDS);
+            grace = loop.schedule(table::endIdle, GRACE_MS, TimeUnit.MILLISECONDS);
         } else if (!on && draining) {
             grace.cancel(false);
         }
         draining = on;
+        table.drain(on);
         return true;
     }
 
@@ -200,80 +190,16 @@
         drain(true);
         drained = done;
         if (bySuccessor) {
-            stopListening();
+            listener.close(this::finishDrain);
         }
         loop.schedule(() -> {
-            stopListening();
-            closeIdle();
-        }, DRAIN_GRACE_MS, TimeUnit.MILLISECONDS);
-    }
-
-    /** Takes the listening socket from its selector first: its close would else leave it queueing for a while. */
-    private void stopListening() {
-        if (listening.isRegistered()) {
-            listening.deregister().addListener(done -> emptyAndClose());
-        }
-    }
-
-    /** Nobody may be left in the kernel's line: what it holds is accepted right before the close. */
-    private void emptyAndClose() {
-        if (socket.isRegistered()) {
-            afterNextSelect(this::emptyAndClose);
-            return;
-        }
-        List<java.nio.channels.SocketChannel> last = new ArrayList<>();
-        try {
-            for (java.nio.channels.SocketChannel next = socket.accept(); next != null; next = socket.accept()) {
-                last.add(next);
-            }
-            socket.close();
-        } catch (IOException e) {
-            EdgeNode.trouble("the end of listening", e);
-        }
-        last.forEach(next -> listening.pipeline().fireChannelRead(new NioSocketChannel(listening, next)));
-        listening.close().addListener(done -> finishDrain());
-    }
-
-    /** Some at a time: what has been sent on the others is read before their turn comes. */
-    private void closeIdle() {
-        closeNext(List.copyOf(sessions).iterator());
-    }
-
-    private void closeNext(Iterator<Session> rest) {
-        for (int closed = 0; draining && closed < CLOSE_AT_ONCE && rest.hasNext();) {
-            Session session = rest.next();
-            if (session.between()) {
-                session.channel.close();
-                closed++;
-            }
-        }
-        if (draining && rest.hasNext()) {
-            afterNextSelect(() -> closeNext(rest));
-        }
-    }
-
-    /** A task that is executed runs in the same round of the loop as long as there are others: a timer does not. */
-    private void afterNextSelect(Runnable task) {
-        loop.schedule(task, 1, TimeUnit.MILLISECONDS);
-    }
-
-    /**
-     * Ends the oldest connection between requests, which its client can tell from a loss. Without this, clients
-     * that connect and say nothing would hold every place, and nobody else would ever be let in.
-     */
-    private boolean makeRoom(Session newest) {
-        for (Session session : sessions) {
-            if (session != newest && !session.closing && session.between()) {
-                session.closing = true;
-                session.channel.close();
-                return true;
-            }
-        }
-        return false;
+            listener.close(this::finishDrain);
+            table.endIdle();
+        }, GRACE_MS, TimeUnit.MILLISECONDS);
     }
 
     private void finishDrain() {
-        if (drained != null && !listening.isOpen() && sessions.isEmpty()) {
+        if (drained != null && !listener.open() && table.open() == 0) {
             drained.complete(null);
         }
     }
@@ -294,8 +220,8 @@
     }
 
     /** Reads a request; what it cannot read it names. */
-    private OpenRequest read(HttpRequest message, ByteBuf body, OpenRequest.Upload upload, OpenRequest.Answers answers)
-        throws Refusal {
+    private OpenRequest read(HttpRequest message, ByteBuf body, HeldBytes.Body holding, OpenRequest.Upload upload,
+                             OpenRequest.Answers answers) throws Refusal {
         String uri = message.uri();
         if (!uri.equals("/api") && !uri.startsWith("/api?")) {
             throw new Refusal(HttpResponseStatus.NOT_FOUND, "no such path");
@@ -324,7 +250,7 @@
             (int) whole(quota.get("spread"), "X-Quota spread", 1, siblings),
             (int) whole(quota.get("first"), "X-Quota first", 0, siblings - 1L),
             "1".equals(headers.get("X-Second-Try")));
-        return new OpenRequest(request, method, uri, key, body, upload, answers);
+        return new OpenRequest(request, method, uri, key, body, holding, upload, answers);
     }
 
     private static String need(HttpHeaders headers, String name) throws Refusal {
@@ -392,21 +318,30 @@
         throw bad(name + " is not a whole number from " + least + " to " + most);
     }
 
+    /** Whose body it is that comes in behind this head. */
+    private static long owner(HttpRequest message) {
+        try {
+            return customer(message.headers());
+        } catch (Refusal e) {
+            return HeldBytes.STRANGER;
+        }
+    }
+
     /** A client's connection: one request at a time, what comes behind it waits its turn. */
-    private final class Session extends SimpleChannelInboundHandler<HttpObject> {
+    private final class Session extends SimpleChannelInboundHandler<HttpObject> implements Carrier {
         private final RequestDecoder decoder;
         private Channel channel;
+        private Clients.Entry entry;
         private OpenRequest current;
-        private boolean keepAlive, old, headOnly, closing;
+        private boolean keepAlive, old, headOnly, closing, inputEnded;
         /** Decoded, but behind a request that is not answered yet. */
         private final ArrayDeque<HttpObject> waiting = new ArrayDeque<>();
         /** The request that is coming in: its head, its body while that is held, the rest of a long one. */
         private HttpRequest head;
         private ByteBuf body;
+        private HeldBytes.Body holding;
         private Rest rest;
         private long received;
-        /** When the request that is awaited or coming in began, and when something of it last came; 0 if none has. */
-        private long begun = System.nanoTime(), heard = begun;
         /** Run if the client leaves while a long answer is passed on. */
         private Runnable leaves;
         private boolean endTold;
@@ -418,36 +353,23 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             channel = context.channel();
-            begun = System.nanoTime();
-            sessions.add(this);
-            if (sessions.size() >= most && !makeRoom(this)) {
-                // At the bound on descriptors newcomers wait in the kernel's line until a connection ends.
-                listening.config().setAutoRead(false);
+            entry = table.accepted(System.nanoTime(), channel.remoteAddress(), tls != null, this);
+            if (entry == null) {
+                closing = true;
+                channel.close();
+            }
+            if (table.full()) {
+                listener.awaitRoom();
             }
         }
 
-        /** Whether it is between requests, or before its first. */
-        private boolean between() {
-            return current == null && waiting.isEmpty() && head == null && !decoder.holdsMore();
-        }
-
-        /** A slow peer gets its time, a silent one is owed a close. */
-        private void endIfSilent(long now) {
-            if (closing || current != null || !waiting.isEmpty() || begun == 0) {
-                return;
-            }
-            long ms = (now - begun) / 1_000_000;
-            long pause = (now - heard) / 1_000_000;
-            long limit = draining && between() ? DRAIN_GRACE_MS : HEAD_MS + received / LEAST_RATE;
-            // A body comes in lumps: it may be behind for a while.
-            if (ms > limit && (head == null || pause > PAUSE_MS || ms > limit + LUMP_MS)) {
-                channel.close();
-            }
+        @Override
+        public void close() {
+            channel.close();
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
-            heard = System.nanoTime();
             if (closing) {
                 return;
             }
@@ -466,11 +388,45 @@
         public void channelReadComplete(ChannelHandlerContext context) {
             if (rest != null && rest.relay != null) {
                 rest.relay.readComplete();
-            } else if (begun == 0 && current == null && head == null && decoder.holdsMore()) {
-                begun = heard = System.nanoTime();
+            } else if (!closing && entry.between() && decoder.holdsMore()) {
+                entry.heard(System.nanoTime(), 0);
+            }
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            boolean ended = event instanceof ChannelInputShutdownEvent || tls != null && event == SslCloseCompletionEvent.SUCCESS;
+            if (ended && !inputEnded) {
+                inputEnded = true;
+                noMoreComes();
             }
         }
 
+        /**
+         * The client ended its sending, or has closed: the same from here. What it sent whole is answered; one that has
+         * closed resets the connection when something is written to it, so it is sent a line that means nothing.
+         */
+        private void noMoreComes() {
+            boolean whole = current != null && (rest == null || rest.complete) || !waiting.isEmpty();
+            if (!whole) {
+                channel.close();
+                return;
+            }
+            entry.halfClosed();
+            ask();
+            loop.schedule(this::ask, ASK_AGAIN_MS, TimeUnit.MILLISECONDS);
+        }
+
+        private void ask() {
+            if (current != null && leaves == null && !old && channel.isActive()) {
+                goOn();
+            }
+        }
+
+        private void goOn() {
+            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+
         private void handle(HttpObject part) {
             if (part.decoderResult().isFailure()) {
                 keepAlive = false;
@@ -488,7 +444,8 @@
         private void open(HttpRequest request) {
             head = request;
             received = 0;
-            begun = begun == 0 ? heard : begun;
+            entry.head(System.nanoTime());
+            holding = node.held.open(owner(request));
             keepAlive = HttpUtil.isKeepAlive(request);
             old = !request.protocolVersion().isKeepAliveDefault();
             headOnly = request.method().equals(HttpMethod.HEAD);
@@ -499,36 +456,62 @@
             } else if (expected != null && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)) {
                 keepAlive = false;
                 plain(HttpResponseStatus.EXPECTATION_FAILED, "no such expectation");
+            } else if (entry.turnedAway() && !request.uri().equals("/_health")) {
+                turnAway();
             } else if (HttpUtil.is100ContinueExpected(request)) {
-                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+                goOn();
+            }
+        }
+
+        /** There is no room for its connection or its body: the answer comes before the rest of it. */
+        private void turnAway() {
+            keepAlive = false;
+            try {
+                OpenRequest away = read(head, Unpooled.EMPTY_BUFFER, holding, null, new Reply());
+                current = away;
+                if (!node.turnAway(away)) {
+                    current = null;
+                    plain(HttpResponseStatus.CONFLICT, "a request of this id is open");
+                }
+            } catch (Refusal e) {
+                plain(e.status, e.getMessage());
             }
         }
 
         private void take(ByteBuf piece, boolean last) {
             received += piece.readableBytes();
+            entry.heard(System.nanoTime(), piece.readableBytes());
             if (body == null) {
                 long length = Math.max(FIRST_PIECE, HttpUtil.getContentLength(head, 0L));
                 body = last && !piece.isReadable() ? Unpooled.EMPTY_BUFFER
                     : channel.alloc().buffer((int) Math.min(ServerPool.MOST_BODY, length));
             }
             body.writeBytes(piece);
+            if (!holding.hold(body.capacity())) {
+                turnAway();
+                return;
+            }
             if (!last && body.readableBytes() <= ServerPool.MOST_BODY) {
                 return;
             }
             HttpRequest request = head;
             ByteBuf held = body;
+            HeldBytes.Body holds = holding;
             body = null;
+            holding = null;
             head = null;
-            begun = 0;
+            entry.request();
             try {
                 if (request.uri().equals("/_health") && last) {
+                    holds.release();
                     health(request.method());
                 } else {
                     rest = last ? null : new Rest(HttpUtil.getContentLength(request, -1L));
-                    take(read(request, held.retain(), rest, new Reply()));
+                    take(read(request, held.retain(), holds, rest, new Reply()));
                 }
             } catch (Refusal e) {
                 held.release();
+                holds.release();
                 plain(e.status, e.getMessage());
             } finally {
                 held.release();
@@ -544,7 +527,7 @@
             }
             if (!node.take(taken)) {
                 current = null;
-                taken.body.release();
+                taken.release();
                 plain(HttpResponseStatus.CONFLICT, "a request of this id is open");
             }
         }
@@ -562,7 +545,7 @@
                 : Unpooled.copiedBuffer(why + "\n", StandardCharsets.UTF_8), 0);
         }
 
-        private void write(HttpResponseStatus status, ByteBuf whole, long retryAfter) {
+        private ChannelFuture write(HttpResponseStatus status, ByteBuf whole, long retryAfter) {
             DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                 headOnly ? Unpooled.EMPTY_BUFFER : whole);
             answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, whole.readableBytes());
@@ -576,12 +559,20 @@
             boolean unread = head != null || rest != null && !rest.complete;
             keepAlive &= !unread;
             tellEnd(answer.headers());
-            end(channel.writeAndFlush(answer), unread);
+            ChannelFuture written = written(channel.writeAndFlush(answer));
+            end(written, unread);
+            return written;
+        }
+
+        /** A peer that does not read is given up after a while. */
+        private ChannelFuture written(ChannelFuture last) {
+            entry.writing(System.nanoTime());
+            return last.addListener(done -> entry.written(System.nanoTime()));
         }
 
         /** Whether the connection ends with this answer is told in its head. */
         private void tellEnd(HttpHeaders headers) {
-            endTold = !keepAlive || draining && waiting.isEmpty();
+            endTold = !keepAlive || waiting.isEmpty() && (draining || inputEnded || entry.shouldEnd());
             if (endTold) {
                 headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             } else if (old) {
@@ -595,6 +586,12 @@
             current = null;
             rest = null;
             leaves = null;
+            drop();
+            if (closing) {
+                entry.ending();
+            } else {
+                entry.idle(System.nanoTime());
+            }
             if (!closing) {
                 written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
                 if (!waiting.isEmpty() || !channel.config().isAutoRead()) {
@@ -602,7 +599,13 @@
                 }
             } else if (unread && channel instanceof SocketChannel socket) {
                 // A close with bytes unread would take the answer back; they are dropped for a while first.
-                written.addListener(done -> socket.shutdownOutput());
+                written.addListener(done -> {
+                    if (tls == null) {
+                        socket.shutdownOutput();
+                    } else {
+                        tls.endSending(socket);
+                    }
+                });
                 channel.config().setAutoRead(true);
                 loop.schedule(() -> {
                     channel.close();
@@ -623,22 +626,36 @@
             }
             if (current == null && waiting.isEmpty()) {
                 channel.config().setAutoRead(true);
+                if (inputEnded && !closing) {
+                    // What came last is no whole request.
+                    channel.close();
+                }
+            }
+        }
+
+        /** What is held of a request that does not come whole. */
+        private void drop() {
+            head = null;
+            if (body != null) {
+                body.release();
+                body = null;
+            }
+            if (holding != null) {
+                holding.release();
+                holding = null;
             }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            sessions.remove(this);
-            if (listening.isOpen()) {
-                listening.config().setAutoRead(true);
+            if (entry != null) {
+                entry.closed();
+                listener.roomAgain();
             }
             while (!waiting.isEmpty()) {
                 ReferenceCountUtil.release(waiting.poll());
             }
-            if (body != null) {
-                body.release();
-                body = null;
-            }
+            drop();
             OpenRequest left = current;
             Rest cut = rest;
             Runnable gone = leaves;
@@ -763,12 +780,16 @@
 
             @Override
             public void served(ByteBuf whole) {
-                write(HttpResponseStatus.OK, whole.retain(), 0);
+                // It is here until the client has taken it.
+                HeldBytes.Body writing = node.held.open(current.request.customer());
+                writing.keep(whole.readableBytes());
+                write(HttpResponseStatus.OK, whole.retain(), 0).addListener(done -> writing.release());
             }
 
             @Override
             public void refused(long retryAfter) {
-                write(retryAfter > 0 ? HttpResponseStatus.TOO_MANY_REQUESTS
+                // Without a place, and not for anything of this customer's, it is no case of too many requests.
+                write(retryAfter > 0 && head == null ? HttpResponseStatus.TOO_MANY_REQUESTS
                     : HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER, retryAfter);
             }
 
@@ -802,7 +823,7 @@
                 }
                 leaves = null;
                 if (whole) {
-                    ChannelFuture last = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+                    ChannelFuture last = written(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
                     last.addListener(done -> node.answerEnded(of, done.isSuccess() ? Ending.PASSED : null));
                     end(last, false);
                     return;
--- a/src/main/java/thistlefall/node/Config.java
+++ b/src/main/java/thistlefall/node/Config.java
@@ -11,10 +11,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import thistlefall.Ports.Readiness;
 import thistlefall.Ports.Server;
 import thistlefall.Ports.Settings;
 import thistlefall.SettingsReader;
+import thistlefall.node.connections.Limits;
+import thistlefall.node.connections.Tls;
 
 /**
  * What an edge node is told at its start.
@@ -22,14 +25,18 @@
  * @param counter where the counter listens; null where there is none
  * @param ops where operators call; null where they can't
  * @param sockets how many descriptors the process may hold
+ * @param connections bounds on connections, so far as they are set
+ * @param tls how clients' connections are secured; null if they are not
  * @param known the list of app servers as last had before this start
  * @param connectTimeout span after which a connection counts as not made
  * @param keepAlive span after which an app server closes an idle connection
  * @param names the names that stand for the settings' indices
  */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress counter,
-              InetSocketAddress ops, long seed, int sockets, Roll known, long connectTimeout, long keepAlive, Names names, Settings settings) {
+              InetSocketAddress ops, long seed, int sockets, Limits connections, Tls.Settings tls, Roll known, long connectTimeout,
+              long keepAlive, Names names, Settings settings) {
 
+    private static final int HANDSHAKES = 8;
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /** A configuration that cannot be used; the message is one plain line that names the key. */
@@ -109,12 +116,64 @@
         return new Config(address(root, "listen"), address(root, "discovery"),
             counted ? address(root, "counter") : null, root.hasNonNull("ops") ? address(root, "ops") : null,
             seed(present(root, "seed")),
-            root.path("limits").path("sockets").asInt(1024),
+            root.path("limits").path("sockets").asInt(1024), connections(root.path("connections")),
+            tls(root.path("tls")),
             root.hasNonNull("known") ? roll(root.get("known"), names) : new Roll(0, true, List.of()),
             (long) number(pairs, "caps.connect-timeout-ns"), (long) number(pairs, "caps.keepalive-ns"),
             names, read);
     }
 
+    private static Limits connections(JsonNode node) throws Invalid {
+        if (node.isMissingNode()) {
+            return Limits.NONE;
+        }
+        own(node, "connections", Set.of("clients", "archive-servers", "per-archive-server", "held-bytes", "idle-ms"));
+        return new Limits(whole(node, "connections", "clients", 1, 1 << 20),
+            whole(node, "connections", "archive-servers", 1, 1 << 20),
+            whole(node, "connections", "per-archive-server", 1, 1 << 20),
+            whole(node, "connections", "held-bytes", 1 << 17, 1 << 30),
+            whole(node, "connections", "idle-ms", 2_000, 3_600_000) * 1_000_000L);
+    }
+
+    private static Tls.Settings tls(JsonNode node) throws Invalid {
+        if (node.isMissingNode()) {
+            return null;
+        }
+        own(node, "tls", Set.of("certificate", "key", "handshakes"));
+        for (String key : List.of("certificate", "key")) {
+            if (!node.path(key).isTextual() || node.path(key).asText().isBlank()) {
+                throw new Invalid("tls." + key + " is not the path of a file");
+            }
+        }
+        int handshakes = whole(node, "tls", "handshakes", 1, 1_024);
+        return new Tls.Settings(node.path("certificate").asText(), node.path("key").asText(),
+            handshakes == 0 ? HANDSHAKES : handshakes);
+    }
+
+    /** An object of this project's own: what it does not know may be a slip, and is told. */
+    private static void own(JsonNode node, String name, Set<String> keys) throws Invalid {
+        if (!node.isObject()) {
+            throw new Invalid(name + " is not an object");
+        }
+        for (Map.Entry<String, JsonNode> field : node.properties()) {
+            if (!keys.contains(field.getKey())) {
+                throw new Invalid(name + "." + field.getKey() + " is unknown");
+            }
+        }
+    }
+
+    /** A whole number; 0 if it is not set. */
+    private static int whole(JsonNode node, String name, String key, int least, int most) throws Invalid {
+        JsonNode value = node.path(key);
+        if (value.isMissingNode()) {
+            return 0;
+        }
+        if (!value.isIntegralNumber() || !value.canConvertToInt() || value.asInt() < least || value.asInt() > most) {
+            throw new Invalid(name + "." + key + " is not a whole number from " + least + " to " + most + ": " + value);
+        }
+        return value.asInt();
+    }
+
     /** Reads one message of discovery. */
     static Roll roll(String line, Names names) throws Invalid {
         try {
--- a/src/main/java/thistlefall/node/CounterClient.java
+++ b/src/main/java/thistlefall/node/CounterClient.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -17,6 +16,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
 import java.math.BigDecimal;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -24,6 +24,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
 import thistlefall.Ports.Outcome;
+import thistlefall.node.connections.Dial;
 
 /**
  * Calls to the shared counter, written one behind another on a few connections. A name always goes by the same
@@ -53,7 +54,7 @@
         this.loop = loop;
         address = config.counter();
         timeout = Math.max(MS, config.settings().counter().timeout());
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        bootstrap = new Bootstrap().group(loop)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, config.connectTimeout() / MS));
     }
@@ -115,13 +116,20 @@
         }
 
         void connect() {
-            ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel made) {
-                    made.pipeline().addLast(new HttpRequestEncoder(), new ServerPool.AnswerDecoder(),
-                        new HttpObjectAggregator(MOST_ANSWER), Line.this);
-                }
-            }).connect(address);
+            ChannelFuture connecting;
+            try {
+                connecting = Dial.connect(bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel made) {
+                        made.pipeline().addLast(new HttpRequestEncoder(), new ServerPool.AnswerDecoder(),
+                            new HttpObjectAggregator(MOST_ANSWER), Line.this);
+                    }
+                }), address);
+            } catch (IOException e) {
+                EdgeNode.trouble("counter", e);
+                loop.execute(this::die);
+                return;
+            }
             channel = connecting.channel();
             connecting.addListener(done -> {
                 if (done.isSuccess()) {
@@ -189,7 +197,9 @@
             if (lines[place] == this) {
                 lines[place] = null;
             }
-            channel.close();
+            if (channel != null) {
+                channel.close();
+            }
             while (!pending.isEmpty()) {
                 pending.poll().broke();
             }
--- a/src/main/java/thistlefall/node/DiscoveryClient.java
+++ b/src/main/java/thistlefall/node/DiscoveryClient.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -20,15 +19,17 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import thistlefall.Ports.ListKind;
+import thistlefall.node.connections.Dial;
 
 /** Watches the list of app servers, from the last revision heard on, and again whenever a watch ends. */
 final class DiscoveryClient {
-    /** A line comes every 2 s at least: silence beyond a few of them is a dead connection. */
-    private static final int SILENCE_S = 7;
+    /** A line comes every 2 s at least: two missed are a dead connection. What it tells counts as told after 6 s. */
+    private static final int SILENCE_S = 5;
     private static final int CONNECT_MS = 1_000, MOST_LINE = 1 << 20;
     private static final long FIRST_BACKOFF_MS = 100, MOST_BACKOFF_MS = 2_000, PATIENCE_MS = 1_000;
 
@@ -40,13 +41,14 @@
     private long revision, backoff = FIRST_BACKOFF_MS;
     private volatile boolean heard;
     private Channel watching;
+    private boolean deaf;
 
     DiscoveryClient(EdgeNode node, EventLoop loop, Config config) {
         this.node = node;
         this.loop = loop;
         names = config.names();
         address = config.discovery();
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        bootstrap = new Bootstrap().group(loop)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
             .handler(new ChannelInitializer<Channel>() {
                 @Override
@@ -71,6 +73,7 @@
 
     /** Goes on at another address at once; the watch at the old one ends, so that no change is told twice. */
     void move(InetSocketAddress to) {
+        System.out.println("discovery is followed from " + address + " to " + to);
         address = to;
         backoff = FIRST_BACKOFF_MS;
         Channel old = watching;
@@ -81,19 +84,36 @@
     }
 
     private void watch() {
-        Channel channel = bootstrap.connect(address).channel();
+        Channel channel;
+        try {
+            channel = Dial.connect(bootstrap, address).channel();
+        } catch (IOException e) {
+            EdgeNode.trouble("discovery", e);
+            watching = null;
+            backOff();
+            return;
+        }
         watching = channel;
         channel.closeFuture().addListener(closed -> {
             if (channel == watching) {
-                loop.schedule(this::again, backoff, TimeUnit.MILLISECONDS);
-                backoff = Math.min(MOST_BACKOFF_MS, 2 * backoff);
+                backOff();
             }
         });
     }
 
+    private void backOff() {
+        if (!deaf) {
+            // Told once: a discovery that is down is asked over and over.
+            deaf = true;
+            System.out.println("discovery's watch at " + address + " ended at revision " + revision);
+        }
+        loop.schedule(this::again, backoff, TimeUnit.MILLISECONDS);
+        backoff = Math.min(MOST_BACKOFF_MS, 2 * backoff);
+    }
+
     private void again() {
         // A move in the meantime has begun another watch.
-        if (!watching.isOpen()) {
+        if (watching == null || !watching.isOpen()) {
             watch();
         }
     }
@@ -142,6 +162,10 @@
         }
 
         private void read(String text) throws Config.Invalid {
+            if (deaf) {
+                deaf = false;
+                System.out.println("discovery is heard again");
+            }
             if (text.isBlank()) {
                 return;
             }
--- a/src/main/java/thistlefall/node/EdgeNode.java
+++ b/src/main/java/thistlefall/node/EdgeNode.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -23,6 +24,9 @@
 import thistlefall.Ports.Outcome;
 import thistlefall.Ports.Result;
 import thistlefall.node.Figures.Ending;
+import thistlefall.node.connections.Budget;
+import thistlefall.node.connections.Counts;
+import thistlefall.node.connections.HeldBytes;
 
 /**
  * A real edge node: carries what happens on the sockets to the decision module and its actions back. All of it
@@ -48,6 +52,8 @@
     private final Map<String, OpenRequest> open = new HashMap<>();
     private final CounterClient counter;
     private final DiscoveryClient discovery;
+    final Counts counts = new Counts();
+    final HeldBytes held = new HeldBytes(counts);
     final Figures figures;
     final ServerPool pool;
     final ClientServer clients;
@@ -56,14 +62,15 @@
     private final LeftOut leftOut;
     private final HandoverFile handover;
     private Config config;
+    private volatile Budget budget;
     private Gateway gateway;
     private volatile boolean admitted, taking;
     private boolean inside;
 
     /** {@code folder} keeps what outlives the process; null if nothing does. */
-    EdgeNode(Config config, Path folder) {
+    EdgeNode(Config config, Path folder) throws IOException {
         this.config = config;
-        figures = new Figures(config.names().classes());
+        figures = new Figures(config.names().classes(), counts);
         slots = new Slots(folder);
         leftOut = new LeftOut(folder);
         handover = new HandoverFile(folder);
@@ -72,6 +79,7 @@
         counter = new CounterClient(this::counted, loop, config);
         discovery = new DiscoveryClient(this, loop, config);
         clients = new ClientServer(this, loop, config);
+        bound(1).clamped().forEach(this::log);
     }
 
     /** Begins to serve; returns when the listening socket is bound. */
@@ -199,18 +207,36 @@
             event(null, now -> gateway.stillOut(now, out));
             out.forEach(pool::leaveOut);
         }
-        int processes = slots.otherLives() ? 2 : 1;
-        clients.share(processes);
-        pool.share(processes);
+        bound(slots.otherLives() ? 2 : 1);
         tell();
     }
 
+    /** How the descriptors are shared out now; any thread. */
+    Budget budget() {
+        return budget;
+    }
+
+    /** No descriptor is left for an operator's call: clients give up some of theirs. */
+    void exhausted() {
+        loop.execute(clients::exhausted);
+    }
+
+    /** Keeps to this process's part of the descriptors, which all processes of this edge node hold together. */
+    private Budget bound(int processes) {
+        budget = Budget.of(config.connections(), config.sockets(), processes, pool.listed());
+        clients.bound(budget);
+        pool.bound(budget);
+        held.bound(budget);
+        return budget;
+    }
+
     private void tell() {
         figures.servers(pool.listed(), gateway.avoided().size());
     }
 
     @Override
     public void close() {
+        clients.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
@@ -274,12 +300,28 @@
         return now + Math.max(MS, span - ANSWER_MARGIN);
     }
 
+    /** Has a request refused that can't be carried here; false if its id is that of one still open. */
+    boolean turnAway(OpenRequest away) {
+        if (!enter(away)) {
+            return false;
+        }
+        event(away, now -> gateway.turnedAway(now, away.request));
+        return true;
+    }
+
+    private boolean enter(OpenRequest request) {
+        if (open.putIfAbsent(request.request.id(), request) != null) {
+            return false;
+        }
+        figures.taken();
+        return true;
+    }
+
     /** Takes a request; false if its id is that of one still open. */
     boolean take(OpenRequest taken) {
-        if (open.putIfAbsent(taken.request.id(), taken) != null) {
+        if (!enter(taken)) {
             return false;
         }
-        figures.taken();
         long left = taken.request.deadline() + ANSWER_MARGIN - LAST_MOMENT - now();
         // The backstop for a module that is late: no request may be left without an answer. A client's time counts
         // from its last byte.
@@ -384,7 +426,7 @@
     private void settle(OpenRequest of) {
         if (of.answered && !of.attemptOut && open.remove(of.request.id(), of)) {
             cancelBackstop(of);
-            of.body.release();
+            of.release();
         }
     }
 
--- a/src/main/java/thistlefall/node/Figures.java
+++ b/src/main/java/thistlefall/node/Figures.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicLongArray;
+import thistlefall.node.connections.Counts;
 
 /** What operators read of an edge node: counted on its loop, read on any thread, all from 0 with the process. */
 final class Figures {
@@ -18,8 +19,11 @@
     private final AtomicInteger inProgress = new AtomicInteger(), known = new AtomicInteger(),
         skipped = new AtomicInteger();
 
-    Figures(List<String> classes) {
+    private final Counts connections;
+
+    Figures(List<String> classes, Counts connections) {
         this.classes = classes;
+        this.connections = connections;
         ended = new AtomicLongArray(classes.size() * ENDINGS);
     }
 
@@ -59,6 +63,7 @@
         line(text, "in_progress", inProgress.get());
         line(text, "known_archive_servers", known.get());
         line(text, "skipped_archive_servers", skipped.get());
+        connections.tell((name, value) -> line(text, "connections." + name, value));
         return text.toString();
     }
 
--- a/src/main/java/thistlefall/node/OpenRequest.java
+++ b/src/main/java/thistlefall/node/OpenRequest.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.concurrent.Future;
 import thistlefall.Ports.Request;
+import thistlefall.node.connections.HeldBytes;
 
 /** A request that was taken: what goes on to app servers, and what is still owed to its client. */
 final class OpenRequest {
@@ -50,6 +51,7 @@
     final String key;
     /** The body, or its beginning where there is an upload. */
     final ByteBuf body;
+    private final HeldBytes.Body holding;
     private final Answers answers;
     final Upload upload;
     int attempts;
@@ -57,18 +59,25 @@
     boolean answered;
     Future<?> overdue;
 
-    /** Takes over the body; {@code upload} is null if that is whole. */
-    OpenRequest(Request request, HttpMethod method, String uri, String key, ByteBuf body, Upload upload,
-                Answers answers) {
+    /** Takes over the body and what is told to be held of it; {@code upload} is null if that is whole. */
+    OpenRequest(Request request, HttpMethod method, String uri, String key, ByteBuf body, HeldBytes.Body holding,
+                Upload upload, Answers answers) {
         this.request = request;
         this.method = method;
         this.uri = uri;
         this.key = key;
         this.body = body;
+        this.holding = holding;
         this.upload = upload;
         this.answers = answers;
     }
 
+    /** Lets the body go. */
+    void release() {
+        body.release();
+        holding.release();
+    }
+
     /** Where the rest of a long answer goes, once that has begun. */
     Answers passedAnswer() {
         return answers;
--- a/src/main/java/thistlefall/node/OpsServer.java
+++ b/src/main/java/thistlefall/node/OpsServer.java
@@ -1,17 +1,13 @@
 package thistlefall.node;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.string.StringDecoder;
 import io.netty.handler.codec.string.StringEncoder;
@@ -20,41 +16,36 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import thistlefall.node.connections.Listener;
 
 /**
  * Where operators call: a line in, an answer out, and the connection ends. It has a thread of its own, so that a
  * busy client loop makes no answer late: figures are read as they stand, and commands go to that loop.
  */
 final class OpsServer implements AutoCloseable {
-    private static final int MOST_LINE = 512, MOST_CALLERS = 32, CALL_MS = 5_000;
+    private static final int MOST_LINE = 512, CALL_MS = 5_000;
     private static final String YES = "ACK\n", NO = "NAK ";
 
     private final EdgeNode node;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     /** Open connections, the oldest first; told on the one loop only. */
     private final Set<Channel> callers = new LinkedHashSet<>();
-    private final Channel listening;
+    private final Listener listener;
+    private final int callersAtOnce;
 
     /** Listens when it returns. */
-    OpsServer(EdgeNode node, InetSocketAddress at) throws InterruptedException {
+    OpsServer(EdgeNode node, InetSocketAddress at) throws InterruptedException, ExecutionException {
         this.node = node;
-        listening = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            // A caller may end its sending with its line; it waits for the answer all the same.
-            .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new LineBasedFrameDecoder(MOST_LINE),
-                        new StringDecoder(StandardCharsets.UTF_8), new StringEncoder(StandardCharsets.UTF_8),
-                        new Call());
-                }
-            }).bind(at).sync().channel();
+        callersAtOnce = node.budget().operators();
+        listener = new Listener(group.next(), node::exhausted);
+        listener.bind(at, false, channel -> channel.pipeline().addLast(new LineBasedFrameDecoder(MOST_LINE),
+            new StringDecoder(StandardCharsets.UTF_8), new StringEncoder(StandardCharsets.UTF_8), new Call())).get();
     }
 
     InetSocketAddress address() {
-        return (InetSocketAddress) listening.localAddress();
+        return listener.address();
     }
 
     @Override
@@ -92,7 +83,7 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             callers.add(context.channel());
-            if (callers.size() > MOST_CALLERS) {
+            if (callers.size() > callersAtOnce) {
                 callers.iterator().next().close();
             }
             context.executor().schedule(() -> context.close(), CALL_MS, TimeUnit.MILLISECONDS);
--- a/src/main/java/thistlefall/node/ServerPool.java
+++ b/src/main/java/thistlefall/node/ServerPool.java
@@ -10,10 +10,10 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -30,20 +30,27 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
+import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import thistlefall.Ports.Outcome;
 import thistlefall.Ports.Readiness;
-
-/** Connections to app servers, one request on each at a time, and the attempts on them with their outcomes. */
-final class ServerPool {
+import thistlefall.node.connections.Budget;
+import thistlefall.node.connections.Carrier;
+import thistlefall.node.connections.Dial;
+import thistlefall.node.connections.HeldBytes;
+import thistlefall.node.connections.Servers;
+import thistlefall.node.connections.Servers.Failure;
+
+/**
+ * The app servers' side: attempts on connections, one at a time on each, and their outcomes. Which connection an attempt
+ * goes by, and whether a new one is made, is for {@link Servers}.
+ */
+final class ServerPool implements Servers.Host {
     /** The longest body that is held whole. */
     static final int MOST_BODY = 64 * 1024;
     private static final int FIRST_PIECE = 512;
@@ -54,20 +61,16 @@
     private final EdgeNode node;
     private final EventLoop loop;
     private final Bootstrap bootstrap;
-    private final Map<String, Endpoint> endpoints = new HashMap<>();
-    private final long idleLimit;
-    private final int sockets;
-    private int most;
-    private int connections;
+    private final Map<String, Listed> listed = new HashMap<>();
+    private final Servers servers;
+    private final long coldSpan;
 
     ServerPool(EdgeNode node, EventLoop loop, Config config) {
         this.node = node;
         this.loop = loop;
-        // Well before the app server does: a request written to a connection that it closes ends as a reset.
-        idleLimit = config.keepAlive() / 2;
-        sockets = config.sockets();
-        share(1);
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        coldSpan = config.settings().rules().coldSpan();
+        servers = new Servers(this, node.counts, config.seed(), config.keepAlive());
+        bootstrap = new Bootstrap().group(loop)
             .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.RECVBUF_ALLOCATOR, reads())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, config.connectTimeout() / MS))
             .handler(new ChannelInitializer<Channel>() {
@@ -76,7 +79,7 @@
                     channel.pipeline().addLast(handlers());
                 }
             });
-        loop.scheduleAtFixedRate(this::closeIdle, SWEEP, SWEEP, TimeUnit.NANOSECONDS);
+        loop.scheduleAtFixedRate(() -> servers.sweep(System.nanoTime()), SWEEP, SWEEP, TimeUnit.NANOSECONDS);
     }
 
     /** How much is read at once. */
@@ -93,8 +96,7 @@
     /** Takes over an open connection that has these handlers. */
     void lend(String server, Channel channel) {
         Connection made = channel.pipeline().get(Connection.class);
-        made.endpoint = endpoints.get(server);
-        made.release();
+        made.begin(listed.get(server).target.lend(System.nanoTime()));
     }
 
     /**
@@ -141,24 +143,11 @@
         }
     }
 
-    /** One run of an app server at one address; a restart or a move makes a new one. */
-    private static final class Endpoint {
-        private final InetSocketAddress address;
-        private final long startedAt;
-        private final ArrayDeque<Connection> idle = new ArrayDeque<>();
-        private final Set<Attempt> connecting = new LinkedHashSet<>();
-        private boolean retired;
-
-        Endpoint(Config.Member member) {
-            address = member.address();
-            startedAt = member.server().startedAt();
-        }
-
-        void retire() {
-            retired = true;
-            while (!idle.isEmpty()) {
-                idle.poll().channel.close();
-            }
+    /** What the list says of an app server, and the connections to it: a restart or a move makes new ones. */
+    private record Listed(Config.Member member, Servers.Target target) {
+        boolean sameRun(Config.Member other) {
+            return member.address().equals(other.address())
+                && member.server().startedAt() == other.server().startedAt();
         }
     }
 
@@ -168,23 +157,24 @@
         for (Config.Member member : roll.members()) {
             String id = member.server().id();
             named.add(id);
-            Endpoint known = endpoints.get(id);
+            Listed known = listed.get(id);
             boolean gone = member.server().readiness() == Readiness.GONE;
-            boolean same = known != null && known.address.equals(member.address())
-                && known.startedAt == member.server().startedAt();
+            boolean same = known != null && known.sameRun(member);
             if (known != null && (gone || !same)) {
-                known.retire();
-                endpoints.remove(id);
+                known.target.retire();
+                listed.remove(id);
             }
             if (!gone && !same) {
-                endpoints.put(id, new Endpoint(member));
+                long started = member.server().startedAt();
+                boolean cold = started > 0 && node.now() - started < coldSpan;
+                listed.put(id, new Listed(member, servers.add(member.address(), cold)));
             }
         }
         if (whole) {
-            endpoints.entrySet().removeIf(entry -> {
+            listed.entrySet().removeIf(entry -> {
                 boolean left = !named.contains(entry.getKey());
                 if (left) {
-                    entry.getValue().retire();
+                    entry.getValue().target.retire();
                 }
                 return left;
             });
@@ -193,84 +183,68 @@
 
     /** Begins an attempt; its outcome is told later, never from within this call. */
     void send(OpenRequest of, String server, long patience) {
-        Attempt attempt = new Attempt(of, server, patience);
-        Endpoint endpoint = endpoints.get(server);
-        if (endpoint == null || connections >= most && !makeRoom(endpoint)) {
-            loop.execute(() -> attempt.end(Outcome.NOT_SENT, 0, null));
+        Listed to = listed.get(server);
+        Attempt attempt = new Attempt(of, server, patience, to == null ? null : to.target);
+        if (to == null) {
+            attempt.none(true);
             return;
         }
         attempt.expiry = loop.schedule(attempt::expire, patience, TimeUnit.NANOSECONDS);
-        Connection ready = endpoint.idle.poll();
-        if (ready != null) {
-            ready.write(attempt);
-            return;
-        }
-        connections++;
-        endpoint.connecting.add(attempt);
-        ChannelFuture connecting = bootstrap.connect(endpoint.address);
-        connecting.channel().closeFuture().addListener(closed -> connections--);
-        connecting.addListener(done -> {
-            endpoint.connecting.remove(attempt);
-            if (!done.isSuccess()) {
-                attempt.end(Outcome.CONNECT_FAILED, 0, null);
-                return;
-            }
-            Connection made = connecting.channel().pipeline().get(Connection.class);
-            made.endpoint = endpoint;
-            made.write(attempt);
-        });
+        to.target.want(System.nanoTime(), attempt);
     }
 
-    /** Keeps to a part of the descriptors, which all processes of this edge node hold together. */
-    void share(int processes) {
-        most = Math.max(16, sockets * 3 / 8 / processes);
+    /** Follows a new budget. */
+    void bound(Budget budget) {
+        servers.bound(budget);
     }
 
     /** How many servers the list holds. */
     int listed() {
-        return endpoints.size();
+        return listed.size();
     }
 
     /** What still waits for a connection to this server is sent to it no more, and its idle connections go. */
     void leaveOut(String server) {
-        Endpoint endpoint = endpoints.get(server);
-        if (endpoint != null) {
-            while (!endpoint.idle.isEmpty()) {
-                endpoint.idle.poll().channel.close();
-            }
-            List.copyOf(endpoint.connecting).forEach(attempt -> attempt.end(Outcome.CONNECT_FAILED, 0, null));
+        Listed known = listed.get(server);
+        if (known != null) {
+            known.target.clear();
         }
     }
 
-    /** At the bound on connections another server's longest idle one gives way. */
-    private boolean makeRoom(Endpoint wanted) {
-        if (!wanted.idle.isEmpty()) {
-            return true;
+    @Override
+    public void dial(Servers.Link link) {
+        ChannelFuture connecting;
+        try {
+            connecting = Dial.connect(bootstrap, (InetSocketAddress) link.target().address());
+        } catch (IOException e) {
+            EdgeNode.trouble("app servers", e);
+            loop.execute(() -> link.failed(System.nanoTime(), Failure.OWN));
+            return;
         }
-        for (Endpoint endpoint : endpoints.values()) {
-            Connection oldest = endpoint.idle.pollLast();
-            if (oldest != null) {
-                oldest.channel.close();
-                return true;
+        Channel channel = connecting.channel();
+        link.carrier(channel::close);
+        connecting.addListener(done -> {
+            if (done.isSuccess()) {
+                channel.pipeline().get(Connection.class).begin(link);
+                link.connected(System.nanoTime());
+            } else {
+                boolean silent = done.cause() instanceof ConnectTimeoutException;
+                link.failed(System.nanoTime(), silent ? Failure.SILENT : Failure.REFUSED);
             }
-        }
-        return false;
+        });
     }
 
-    private void closeIdle() {
-        long due = System.nanoTime() - idleLimit;
-        for (Endpoint endpoint : endpoints.values()) {
-            while (!endpoint.idle.isEmpty() && endpoint.idle.peekLast().idleSince - due < 0) {
-                endpoint.idle.pollLast().channel.close();
-            }
-        }
+    @Override
+    public void later(Servers.Target target, long span) {
+        loop.schedule(() -> target.look(System.nanoTime()), span, TimeUnit.NANOSECONDS);
     }
 
     /** One sending of a request to an app server; it ends exactly once. */
-    private final class Attempt {
+    private final class Attempt implements Servers.Wanting {
         private final OpenRequest of;
         private final String server;
         private final long patience;
+        private final Servers.Target target;
         private long sentAt = System.nanoTime();
         /** Whether a long answer is passed on: for the module the attempt was over when that began. */
         private boolean passed;
@@ -278,10 +252,21 @@
         private Connection on;
         private Future<?> expiry;
 
-        Attempt(OpenRequest of, String server, long patience) {
+        Attempt(OpenRequest of, String server, long patience, Servers.Target target) {
             this.of = of;
             this.server = server;
             this.patience = patience;
+            this.target = target;
+        }
+
+        @Override
+        public void use(Servers.Link link) {
+            ((Connection) link.carrier()).write(this);
+        }
+
+        @Override
+        public void none(boolean own) {
+            loop.execute(() -> end(own ? Outcome.NOT_SENT : Outcome.CONNECT_FAILED, 0, null));
         }
 
         /** An app server begins a request with its last byte: before that it cannot have run. */
@@ -295,9 +280,12 @@
                 return;
             }
             Connection used = on;
+            if (written) {
+                used.link.timedOut(System.nanoTime());
+            }
             end(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, 0, null);
             if (used != null) {
-                used.channel.close();
+                used.close();
             }
         }
 
@@ -311,6 +299,8 @@
             }
             if (on != null) {
                 on.attempt = null;
+            } else if (target != null) {
+                target.cancel(this);
             }
             if (of.upload != null) {
                 of.upload.leave();
@@ -352,18 +342,18 @@
     }
 
     /** A connection to an app server. */
-    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Carrier {
         private final AnswerDecoder decoder;
         private Channel channel;
-        private Endpoint endpoint;
+        private Servers.Link link;
         private Attempt attempt;
         /** The answer so far: its head, its body while that is held, and whether all of it is here. */
         private HttpResponse answer;
         private ByteBuf held;
+        private HeldBytes.Body holding;
         private boolean interim, whole, stray;
         /** Where a long answer goes on to, and when its first piece did. */
         private Relay relay;
-        private long idleSince;
 
         Connection(AnswerDecoder decoder) {
             this.decoder = decoder;
@@ -375,11 +365,17 @@
             channel = context.channel();
         }
 
+        void begin(Servers.Link made) {
+            link = made;
+            link.carrier(this);
+        }
+
+        @Override
+        public void close() {
+            channel.close();
+        }
+
         void write(Attempt next) {
-            if (next.over) {
-                release();
-                return;
-            }
             attempt = next;
             next.on = this;
             if (next.of.upload == null) {
@@ -410,16 +406,6 @@
             });
         }
 
-        private void release() {
-            if (endpoint.retired || !channel.isActive()) {
-                channel.close();
-            } else {
-                channel.config().setAutoRead(true);
-                idleSince = System.nanoTime();
-                endpoint.idle.push(this);
-            }
-        }
-
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
             if (whole) {
@@ -451,15 +437,18 @@
                 relay.piece(bytes.retain());
                 return;
             }
-            boolean served = answer.status().code() == 200;
+            if (answer.status().code() != 200) {
+                // All that matters of it is its head.
+                return;
+            }
             long length = HttpUtil.getContentLength(answer, -1L);
             if (held == null) {
                 held = channel.alloc().buffer((int) Math.min(MOST_BODY, Math.max(length, FIRST_PIECE)));
+                holding = node.held.open(attempt.of.request.customer());
             }
-            if (served || held.readableBytes() + bytes.readableBytes() <= MOST_BODY) {
-                held.writeBytes(bytes);
-            }
-            if (served && held.isReadable() && (length > MOST_BODY || held.readableBytes() > MOST_BODY)) {
+            held.writeBytes(bytes);
+            boolean room = holding.hold(held.capacity());
+            if (held.isReadable() && (!room || length > MOST_BODY || held.readableBytes() > MOST_BODY)) {
                 passOn(length);
             }
         }
@@ -479,6 +468,15 @@
             relay = node.relays.start(channel, to);
             relay.piece(held);
             held = null;
+            holding.release();
+        }
+
+        private void drop() {
+            if (held != null) {
+                held.release();
+                held = null;
+                holding.release();
+            }
         }
 
         /** An answer ends its attempt when all that came along was read: the next one must not find the rest. */
@@ -497,6 +495,7 @@
         private void finish() {
             HttpResponse head = answer;
             ByteBuf body = held == null ? Unpooled.EMPTY_BUFFER : held;
+            HeldBytes.Body holds = holding;
             Attempt answered = attempt;
             boolean passed = relay != null;
             if (passed) {
@@ -504,21 +503,28 @@
             }
             answer = null;
             held = null;
+            holding = null;
             relay = null;
             whole = false;
             attempt = null;
             answered.on = null;
-            if (HttpUtil.isKeepAlive(head) && !stray && !decoder.holdsMore() && answered.written) {
-                release();
+            boolean again = HttpUtil.isKeepAlive(head) && !stray && !decoder.holdsMore() && answered.written
+                && channel.isActive();
+            if (again) {
+                channel.config().setAutoRead(true);
             } else {
                 channel.close();
             }
+            link.answered(System.nanoTime(), again);
             Outcome outcome = outcome(head);
             if (passed) {
                 answered.of.passedAnswer().ended(true);
             }
             answered.end(outcome, outcome == Outcome.OK ? units(head) : 0, body);
             body.release();
+            if (holds != null) {
+                holds.release();
+            }
         }
 
         private Outcome outcome(HttpResponse answer) {
@@ -550,10 +556,7 @@
                     broken.of.passedAnswer().ended(false);
                 }
             }
-            if (held != null) {
-                held.release();
-                held = null;
-            }
+            drop();
             answer = null;
             whole = false;
             if (broken != null) {
@@ -564,14 +567,14 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            if (endpoint != null) {
-                endpoint.idle.remove(this);
-            }
             if (whole) {
                 finish();
             } else {
                 fault();
             }
+            if (link != null) {
+                link.lost(System.nanoTime());
+            }
         }
 
         @Override
--- /dev/null
+++ b/src/main/java/thistlefall/node/connections/Carrier.java
@@ -0,0 +1,7 @@
+package thistlefall.node.connections;
+
+/** What carries a connection's bytes. */
+public interface Carrier {
+    /** Ends it at once. */
+    void close();
+}
--- a/src/test/java/thistlefall/node/Peer.java
+++ b/src/test/java/thistlefall/node/Peer.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A scripted HTTP/1.1 peer on loopback: whatever an edge node connects to, written on plain sockets. */
 final class Peer implements AutoCloseable {
@@ -33,10 +34,13 @@
     final BlockingQueue<Socket> ended = new LinkedBlockingQueue<>();
     private final ServerSocket listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
 
+    private final AtomicInteger accepted = new AtomicInteger();
+
     Peer(Script script) throws IOException {
         daemon(() -> {
             while (true) {
                 Socket socket = listening.accept();
+                accepted.incrementAndGet();
                 daemon(() -> {
                     for (Message m = read(socket); m != null; m = read(socket)) {
                         seen.add(m);
@@ -68,6 +72,11 @@
         return "127.0.0.1:" + listening.getLocalPort();
     }
 
+    /** How many connections came. */
+    int accepted() {
+        return accepted.get();
+    }
+
     Message next() throws InterruptedException {
         Message message = seen.poll(30, TimeUnit.SECONDS);
         if (message == null) {
