End chosen connections in one step between two reads, however many are chosen

Each chosen connection asked for a step of its own: in a drain of 200 idle connections as many steps ran behind one another, so that up to 4 times 200 ended without the sockets being read in between. A step is asked for once now; the test's host fails at a second one. Starting the program in tests has one place.

--- a/src/main/java/thistlefall/node/connections/Clients.java
+++ b/src/main/java/thistlefall/node/connections/Clients.java
@@ -83,7 +83,7 @@
     private final Set<Entry> chosen = new LinkedHashSet<>();
     private int most, lane, learned = Integer.MAX_VALUE, idle;
     private long idleLimit, learnedAt;
-    private boolean draining;
+    private boolean draining, stepping;
 
     /** An empty table. */
     public Clients(Host host, Counts counts) {
@@ -222,11 +222,20 @@
         entry.leaving = true;
         entry.why = why;
         chosen.add(entry);
-        host.stepSoon();
+        stepSoon();
+    }
+
+    /** Once, however many are chosen: between two steps the sockets are to be read. */
+    private void stepSoon() {
+        if (!stepping) {
+            stepping = true;
+            host.stepSoon();
+        }
     }
 
     /** Ends some of those that were chosen and brought no request since. */
     public void step(long now) {
+        stepping = false;
         int closed = 0;
         for (Iterator<Entry> next = chosen.iterator(); closed < CLOSE_AT_ONCE && next.hasNext();) {
             Entry entry = next.next();
@@ -239,7 +248,7 @@
         }
         shrink(now);
         if (!chosen.isEmpty()) {
-            host.stepSoon();
+            stepSoon();
         }
     }
 
--- a/src/test/java/thistlefall/node/ConnectionsTest.java
+++ b/src/test/java/thistlefall/node/ConnectionsTest.java
@@ -569,14 +569,8 @@
         Path file = folder.resolve("config.json");
         Files.writeString(file, config(member("s-0", server.address(), "Ready", 0))
             .replace("\"counter\"", "\"ops\":\"127.0.0.1:" + opsPort + "\",\"counter\""));
-        ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n 90; exec \"$0\" \"$@\"",
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-cp", System.getProperty("java.class.path"), "thistlefall.node.Main", "serve");
-        builder.environment().put("GW_CONFIG", file.toString());
-        Process process = builder.redirectErrorStream(true).start();
-        toClose.add(() -> process.destroyForcibly().waitFor());
-        String line = process.inputReader().lines().filter(l -> l.startsWith("serving on")).findFirst().orElseThrow();
-        InetSocketAddress at = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
+        Process process = serve(file, List.of("sh", "-c", "ulimit -n 90; exec \"$0\" \"$@\""));
+        InetSocketAddress at = servingAt(process);
         while (!call(opsPort, "check").startsWith("ACK")) {
             Thread.sleep(20);
         }
--- a/src/test/java/thistlefall/node/EdgeNodeTest.java
+++ b/src/test/java/thistlefall/node/EdgeNodeTest.java
@@ -14,6 +14,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -340,20 +341,16 @@
         discovery = peer(m -> never.join());
         Path file = Files.createTempFile("node", ".json");
         Files.writeString(file, config(member("s-0", server.address(), "Ready", 0)));
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-cp", System.getProperty("java.class.path"), "thistlefall.node.Main", "serve");
-        builder.environment().put("GW_CONFIG", file.toString());
-        Process process = builder.redirectErrorStream(true).start();
-        toClose.add(() -> process.destroyForcibly().waitFor());
+        Process process = serve(file, List.of());
         discovery.next();
-        String line = process.inputReader().lines().filter(l -> l.startsWith("serving on")).findFirst().orElseThrow();
+        InetSocketAddress at = servingAt(process);
         Peer oldCounter = counter;
         discovery = peer(m -> never.join());
         counter = peer(m -> m.answer(Peer.ok("", "1")));
         Files.writeString(file, config(member("s-0", server.address(), "Ready", 0)));
         new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
         assertTrue(discovery.next().first().contains("watch=1"));
-        Socket client = new Socket("127.0.0.1", Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
+        Socket client = new Socket(at.getAddress(), at.getPort());
         toClose.add(client);
         // The module calls when its budget lets it: a customer never heard of is asked about sooner or later.
         for (int i = 0; counter.seen.isEmpty(); i++) {
--- a/src/test/java/thistlefall/node/NodeTest.java
+++ b/src/test/java/thistlefall/node/NodeTest.java
@@ -71,6 +71,24 @@
         return node;
     }
 
+    /** The program in a process of its own, begun by these words. */
+    Process serve(Path config, List<String> by) throws IOException {
+        List<String> words = new ArrayList<>(by);
+        words.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-cp", System.getProperty("java.class.path"), "thistlefall.node.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(words);
+        builder.environment().put("GW_CONFIG", config.toString());
+        Process process = builder.redirectErrorStream(true).start();
+        toClose.add(() -> process.destroyForcibly().waitFor());
+        return process;
+    }
+
+    /** Where it serves, once it says so. */
+    static InetSocketAddress servingAt(Process process) {
+        String line = process.inputReader().lines().filter(l -> l.startsWith("serving on")).findFirst().orElseThrow();
+        return new InetSocketAddress("127.0.0.1", Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
+    }
+
     Socket client(EdgeNode node) throws IOException {
         InetSocketAddress at = node.address();
         Socket socket = new Socket(at.getAddress(), at.getPort());
--- a/src/test/java/thistlefall/node/connections/ClientsTest.java
+++ b/src/test/java/thistlefall/node/connections/ClientsTest.java
@@ -22,7 +22,10 @@
     private final List<Held> ended = new ArrayList<>();
     private boolean stepWanted;
     private long evictions;
-    private final Clients table = new Clients(() -> stepWanted = true, counts);
+    private final Clients table = new Clients(() -> {
+        assertFalse(stepWanted, "a step is wanted already");
+        stepWanted = true;
+    }, counts);
     private long now = 5_000_000 * MS;
 
     /** A connection in memory. */
