Say in vars and in the log for how long discovery has been silent

Need: a watch that ended and was never heard again showed only by a line that did not come. Change: app.discovery.silent_ms; a log line when silence passes 6 s, the span in which what discovery tells counts as told, and at each doubling, until it is heard again.

--- a/src/main/java/thistlefall/node/DiscoveryClient.java
+++ b/src/main/java/thistlefall/node/DiscoveryClient.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -31,6 +32,8 @@
     /** A line comes every 2 s at least: two missed are a dead connection. What it tells counts as told after 6 s. */
     private static final int SILENCE_S = 5;
     private static final int CONNECT_MS = 1_000, MOST_LINE = 1 << 20;
+    /** From this silence on the list may be older than what counts as told to this edge node (protocol, Figures). */
+    private static final long TOLD_MS = 6_000;
     private static final long FIRST_BACKOFF_MS = 100, MOST_BACKOFF_MS = 2_000, PATIENCE_MS = 1_000;
 
     private final EdgeNode node;
@@ -42,6 +45,7 @@
     private volatile boolean heard;
     private Channel watching;
     private boolean deaf;
+    private ScheduledFuture<?> overdue;
 
     DiscoveryClient(EdgeNode node, EventLoop loop, Config config) {
         this.node = node;
@@ -61,6 +65,7 @@
 
     void start(long known) {
         revision = known;
+        node.figures.discoveryHeard();
         // A discovery that is down must not keep the edge node from serving by the list it has.
         loop.schedule(() -> heard = true, PATIENCE_MS, TimeUnit.MILLISECONDS);
         watch();
@@ -106,11 +111,21 @@
             // Told once: a discovery that is down is asked over and over.
             deaf = true;
             System.out.println("discovery's watch at " + address + " ended at revision " + revision);
+            tellSilence(TOLD_MS);
         }
         loop.schedule(this::again, backoff, TimeUnit.MILLISECONDS);
         backoff = Math.min(MOST_BACKOFF_MS, 2 * backoff);
     }
 
+    /** Says that no word came for {@code span} ms, when that is so, and again at twice as long. */
+    private void tellSilence(long span) {
+        overdue = loop.schedule(() -> {
+            System.out.println("discovery has not been heard for " + node.figures.discoverySilence()
+                + " ms, last asked at " + address + ": the list stays at revision " + revision);
+            tellSilence(2 * span);
+        }, span - node.figures.discoverySilence(), TimeUnit.MILLISECONDS);
+    }
+
     private void again() {
         // A move in the meantime has begun another watch.
         if (watching == null || !watching.isOpen()) {
@@ -164,8 +179,10 @@
         private void read(String text) throws Config.Invalid {
             if (deaf) {
                 deaf = false;
-                System.out.println("discovery is heard again");
+                overdue.cancel(false);
+                System.out.println("discovery is heard again after " + node.figures.discoverySilence() + " ms");
             }
+            node.figures.discoveryHeard();
             if (text.isBlank()) {
                 return;
             }
--- a/src/main/java/thistlefall/node/Figures.java
+++ b/src/main/java/thistlefall/node/Figures.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicLongArray;
@@ -20,6 +21,7 @@
         skipped = new AtomicInteger();
 
     private final Counts connections;
+    private volatile long discoveryAt = System.nanoTime();
 
     Figures(List<String> classes, Counts connections) {
         this.classes = classes;
@@ -50,6 +52,16 @@
         skipped.set(avoided);
     }
 
+    /** A line of discovery came, or the first one is waited for from now on. */
+    void discoveryHeard() {
+        discoveryAt = System.nanoTime();
+    }
+
+    /** For how long nothing was heard of discovery, in milliseconds; a line comes every 2 s. */
+    long discoverySilence() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - discoveryAt);
+    }
+
     /** A figure a line. */
     String text() {
         StringBuilder text = new StringBuilder();
@@ -63,6 +75,7 @@
         line(text, "in_progress", inProgress.get());
         line(text, "known_archive_servers", known.get());
         line(text, "skipped_archive_servers", skipped.get());
+        line(text, "discovery.silent_ms", discoverySilence());
         connections.tell((name, value) -> line(text, "connections." + name, value));
         return text.toString();
     }
