Follow a new configuration and drain however the node was begun: signals ignored before it

The JVM installs no handler for SIGHUP, INT or TERM that was ignored when it began; Signal.handle in Main.serve then does nothing. No looks where signals work.

--- a/src/main/java/thistlefall/node/Config.java
+++ b/src/main/java/thistlefall/node/Config.java
@@ -61,13 +61,16 @@
     }
 
     static Config read(Path file) throws Invalid {
-        String text;
+        return parse(text(file));
+    }
+
+    /** What the file holds, for {@link #parse}. */
+    static String text(Path file) throws Invalid {
         try {
-            text = Files.readString(file);
+            return Files.readString(file);
         } catch (IOException e) {
             throw new Invalid("the configuration " + file + " cannot be read: " + e.getMessage());
         }
-        return parse(text);
     }
 
     static Config parse(String text) throws Invalid {
--- a/src/main/java/thistlefall/node/Main.java
+++ b/src/main/java/thistlefall/node/Main.java
@@ -28,15 +28,16 @@
             return;
         }
         try {
-            Config config = Config.read(Path.of(file));
+            String text = Config.text(Path.of(file));
+            Config config = Config.parse(text);
             String folder = System.getenv("TMPDIR");
             EdgeNode node = new EdgeNode(config, folder == null || folder.isEmpty() ? null : Path.of(folder));
             boolean upgrade = node.slots.otherLives();
             if (config.ops() != null) {
-                new OpsServer(node, config.ops());
+                System.out.println("operators call at " + new OpsServer(node, config.ops()).address());
             }
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "stop"));
-            Signal.handle(new Signal("HUP"), signal -> reload(node, file));
+            followConfiguration(node, file, text);
             // Whoever still comes after a restart is served while the code warms up; the front sends all again when
             // that is done. In an upgrade the other process serves them meanwhile.
             if (upgrade) {
@@ -46,6 +47,7 @@
                 node.start();
             }
             System.out.println("serving on " + node.address());
+            System.out.println("class archive: " + (ClassArchive.inUse() ? "in use" : "none, so the start is slower"));
             if (upgrade) {
                 node.takeOver();
             } else {
@@ -68,6 +70,35 @@
         }
     }
 
+    /** On SIGHUP; by looks at the file only where that signal can't come. */
+    private static void followConfiguration(EdgeNode node, String file, String text) {
+        Dispositions signals = Dispositions.now();
+        if (signals.ignored(Dispositions.TERM)) {
+            System.out.println("SIGTERM was ignored when this process began and can't be caught: drain-on, then SIGKILL");
+        }
+        if (!signals.ignored(Dispositions.HUP)) {
+            Signal.handle(new Signal("HUP"), signal -> reload(node, file));
+            return;
+        }
+        System.out.println("SIGHUP was ignored when this process began and can't be caught: the configuration is looked at each "
+            + ConfigurationWatch.PERIOD_MS + " ms");
+        ConfigurationWatch watch = new ConfigurationWatch(Path.of(file), text);
+        Thread looks = new Thread(() -> {
+            try {
+                while (true) {
+                    Thread.sleep(ConfigurationWatch.PERIOD_MS);
+                    if (watch.changed()) {
+                        reload(node, file);
+                    }
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "configuration");
+        looks.setDaemon(true);
+        looks.start();
+    }
+
     /**
      * On SIGHUP the file may name other addresses; one that cannot be used leaves all as it is. It may still be being
      * written, and no second signal comes for it. One signal at a time: the file as read last is the one to follow.
--- a/src/test/java/thistlefall/node/EdgeNodeTest.java
+++ b/src/test/java/thistlefall/node/EdgeNodeTest.java
@@ -348,7 +348,7 @@
         discovery = peer(m -> never.join());
         counter = peer(m -> m.answer(Peer.ok("", "1")));
         Files.writeString(file, config(member("s-0", server.address(), "Ready", 0)));
-        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+        signal(process, "HUP");
         assertTrue(discovery.next().first().contains("watch=1"));
         Socket client = new Socket(at.getAddress(), at.getPort());
         toClose.add(client);
--- a/src/test/java/thistlefall/node/NodeTest.java
+++ b/src/test/java/thistlefall/node/NodeTest.java
@@ -1,5 +1,6 @@
 package thistlefall.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
 import java.io.IOException;
@@ -85,10 +86,19 @@
 
     /** Where it serves, once it says so. */
     static InetSocketAddress servingAt(Process process) {
-        String line = process.inputReader().lines().filter(l -> l.startsWith("serving on")).findFirst().orElseThrow();
+        String line = said(process, "serving on");
         return new InetSocketAddress("127.0.0.1", Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
     }
 
+    /** The next line of its log that begins so. */
+    static String said(Process process, String start) {
+        return process.inputReader().lines().filter(line -> line.startsWith(start)).findFirst().orElseThrow();
+    }
+
+    static void signal(Process process, String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
+    }
+
     Socket client(EdgeNode node) throws IOException {
         InetSocketAddress at = node.address();
         Socket socket = new Socket(at.getAddress(), at.getPort());
