Read JSON as a tree without making an ObjectMapper, of which each start made two

Change: Json.read builds the same tree from the streaming parser; JsonTest compares it with the mapper's, errors included.

--- a/src/main/java/thistlefall/node/Config.java
+++ b/src/main/java/thistlefall/node/Config.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -37,7 +36,6 @@
               long keepAlive, Names names, Settings settings) {
 
     private static final int HANDSHAKES = 8;
-    private static final ObjectMapper JSON = new ObjectMapper();
 
     /** A configuration that cannot be used; the message is one plain line that names the key. */
     static final class Invalid extends Exception {
@@ -76,7 +74,7 @@
     static Config parse(String text) throws Invalid {
         JsonNode root;
         try {
-            root = JSON.readTree(text);
+            root = Json.read(text);
         } catch (JsonProcessingException e) {
             throw new Invalid("the configuration is not JSON: " + e.getOriginalMessage().replace('\n', ' '));
         }
@@ -180,7 +178,7 @@
     /** Reads one message of discovery. */
     static Roll roll(String line, Names names) throws Invalid {
         try {
-            return roll(JSON.readTree(line), names);
+            return roll(Json.read(line), names);
         } catch (JsonProcessingException e) {
             throw new Invalid("discovery's message is not JSON: " + e.getOriginalMessage().replace('\n', ' '));
         }
--- /dev/null
+++ b/src/main/java/thistlefall/node/Json.java
@@ -0,0 +1,75 @@
+package thistlefall.node;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/**
+ * JSON text as a tree, as {@code ObjectMapper.readTree} gives it, without the mapper: making one costs an edge
+ * node more processor time at its start than reading its whole configuration.
+ */
+final class Json {
+    private static final JsonFactory FACTORY = new JsonFactory();
+    private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
+
+    private Json() {
+    }
+
+    /** The first value in {@code text}; a missing node if there is none. Nesting is bounded by the parser. */
+    static JsonNode read(String text) throws JsonProcessingException {
+        try (JsonParser parser = FACTORY.createParser(text)) {
+            return parser.nextToken() == null ? MissingNode.getInstance() : node(parser);
+        } catch (JsonProcessingException e) {
+            throw e;
+        } catch (IOException e) {
+            // Text in memory has no other trouble.
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static JsonNode node(JsonParser parser) throws IOException {
+        switch (parser.currentToken()) {
+            case START_OBJECT -> {
+                ObjectNode object = NODES.objectNode();
+                for (String name = parser.nextFieldName(); name != null; name = parser.nextFieldName()) {
+                    parser.nextToken();
+                    object.set(name, node(parser));
+                }
+                return object;
+            }
+            case START_ARRAY -> {
+                ArrayNode array = NODES.arrayNode();
+                while (!parser.nextToken().isStructEnd()) {
+                    array.add(node(parser));
+                }
+                return array;
+            }
+            case VALUE_STRING -> {
+                return NODES.textNode(parser.getText());
+            }
+            case VALUE_NUMBER_INT -> {
+                return switch (parser.getNumberType()) {
+                    case INT -> NODES.numberNode(parser.getIntValue());
+                    case LONG -> NODES.numberNode(parser.getLongValue());
+                    default -> NODES.numberNode(parser.getBigIntegerValue());
+                };
+            }
+            case VALUE_NUMBER_FLOAT -> {
+                return NODES.numberNode(parser.getDoubleValue());
+            }
+            case VALUE_NULL -> {
+                return NODES.nullNode();
+            }
+            default -> {
+                return NODES.booleanNode(parser.getBooleanValue());
+            }
+        }
+    }
+}
--- a/src/main/java/thistlefall/node/LeftOut.java
+++ b/src/main/java/thistlefall/node/LeftOut.java
@@ -1,7 +1,8 @@
 package thistlefall.node;
 
-import com.fasterxml.jackson.core.type.TypeReference;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -12,7 +13,6 @@
 
 /** The file that keeps, over an upgrade, which app servers are out by hand. */
 final class LeftOut {
-    private static final ObjectMapper JSON = new ObjectMapper();
     private final Path file;
     private FileTime seen;
 
@@ -32,7 +32,13 @@
                 return null;
             }
             seen = written;
-            return new TreeSet<>(JSON.readValue(file.toFile(), new TypeReference<Set<String>>() { }));
+            JsonNode read = Json.read(Files.readString(file));
+            if (!read.isArray()) {
+                throw new IOException("not a list");
+            }
+            Set<String> ids = new TreeSet<>();
+            read.forEach(id -> ids.add(id.asText()));
+            return ids;
         } catch (IOException | RuntimeException e) {
             EdgeNode.trouble("the file of servers out by hand is passed over", e);
             return null;
@@ -43,7 +49,9 @@
     void write(Set<String> ids) throws IOException {
         if (file != null) {
             Path draft = file.resolveSibling("left-out." + ProcessHandle.current().pid());
-            JSON.writeValue(draft.toFile(), ids);
+            ArrayNode list = JsonNodeFactory.instance.arrayNode();
+            ids.forEach(list::add);
+            Files.writeString(draft, list.toString());
             Files.move(draft, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
             seen = Files.getLastModifiedTime(file);
         }
--- /dev/null
+++ b/src/test/java/thistlefall/node/JsonTest.java
@@ -0,0 +1,30 @@
+package thistlefall.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** A tree without the mapper is the tree that the mapper makes. */
+class JsonTest {
+    private final ObjectMapper mapper = new ObjectMapper();
+
+    @Test
+    void theTreeIsTheMappers() throws Exception {
+        for (String text : List.of("{\"a\":[1,-2.5e3,9999999999,123456789012345678901234567890,null,true,false,\"\\u00e4\"],\"b\":{},\"c\":[]}",
+            "", " ", "7", "[]", "{} trailing", "{\"a\":1,\"a\":2}")) {
+            assertEquals(mapper.readTree(text), Json.read(text), text);
+        }
+    }
+
+    @Test
+    void whatIsNoJsonIsRefusedAsByTheMapper() {
+        for (String text : List.of("{", "{\"a\"", "{\"a\":}", "[1,", "nul", "{]", "[}", "\"a", "[".repeat(100_000))) {
+            String expected = assertThrows(JsonProcessingException.class, () -> mapper.readTree(text)).getOriginalMessage();
+            assertEquals(expected, assertThrows(JsonProcessingException.class, () -> Json.read(text)).getOriginalMessage());
+        }
+    }
+}
