Make two Maven modules: the program in edge, and beside it the lab

Need: the lab must not be in the node's jar, class path or class archive, and one command must build and test all. No line of the program changes.

--- a/src/test/java/thistlefall/node/SignalsTest.java
+++ b/edge/src/test/java/thistlefall/node/SignalsTest.java
@@ -75,7 +75,7 @@
     /** The words before java are those of the deploy file: with them it does not matter how the node was begun. */
     @Test
     void begunAsTheDeployFileSaysItCatchesWhatWasIgnored() throws Exception {
-        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+        String run = Files.readAllLines(Path.of("../deploy/balancer.toml")).stream()
             .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
         Matcher words = Pattern.compile("run = \"exec (.*) java .*").matcher(run);
         assertTrue(words.matches(), run);
