--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/net/Faults.java
@@ -0,0 +1,33 @@
+package thistlefall.lab.net;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** The faults that are on now, by name; what a link is like is what all that concern it make together. */
+public final class Faults {
+    private record Fault(Selector from, Selector to, Conditions conditions) {
+    }
+
+    private final Map<String, Fault> on = new LinkedHashMap<>();
+
+    /** From now on the way from these to those is so; a fault of the same name ends. */
+    public void set(String name, Selector from, Selector to, Conditions conditions) {
+        on.put(name, new Fault(from, to, conditions));
+    }
+
+    /** Ends a fault; false if there is none of that name. */
+    public boolean clear(String name) {
+        return on.remove(name) != null;
+    }
+
+    /** How the way from one party to another is now. */
+    public Conditions between(Party from, Party to) {
+        Conditions all = Conditions.GOOD;
+        for (Fault fault : on.values()) {
+            if (fault.from.matches(from) && fault.to.matches(to)) {
+                all = all.and(fault.conditions);
+            }
+        }
+        return all;
+    }
+}
