Lab: archive servers, counter and discovery on sockets

Need: real processes of serve must meet the stand-ins as the protocol says. Result: by test on sockets: served, repeated, turned away with X-Never-Ran; totals to seven digits; lists, changes, empty lines.

--- a/lab/src/main/java/thistlefall/lab/net/Faults.java
+++ b/lab/src/main/java/thistlefall/lab/net/Faults.java
@@ -3,21 +3,29 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** The faults that are on now, by name; what a link is like is what all that concern it make together. */
+/**
+ * The faults that are on now, by name; what a link is like is what all that concern it make together. One thread
+ * changes them, any reads.
+ */
 public final class Faults {
     private record Fault(Selector from, Selector to, Conditions conditions) {
     }
 
-    private final Map<String, Fault> on = new LinkedHashMap<>();
+    private volatile Map<String, Fault> on = Map.of();
 
     /** From now on the way from these to those is so; a fault of the same name ends. */
     public void set(String name, Selector from, Selector to, Conditions conditions) {
-        on.put(name, new Fault(from, to, conditions));
+        Map<String, Fault> next = new LinkedHashMap<>(on);
+        next.put(name, new Fault(from, to, conditions));
+        on = next;
     }
 
     /** Ends a fault; false if there is none of that name. */
     public boolean clear(String name) {
-        return on.remove(name) != null;
+        Map<String, Fault> next = new LinkedHashMap<>(on);
+        boolean was = next.remove(name) != null;
+        on = next;
+        return was;
     }
 
     /** How the way from one party to another is now. */
--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/stand/http/ArchiveServerPort.java
@@ -0,0 +1,82 @@
+package thistlefall.lab.stand.http;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.ToDoubleFunction;
+import thistlefall.lab.stand.ArchiveServer;
+import thistlefall.lab.stand.ArchiveServer.Ended;
+import thistlefall.lab.stand.ServerTerms;
+
+/** An archive server on sockets (protocol, Edge nodes to archive servers). Each instance is one run of its process. */
+public final class ArchiveServerPort extends Port {
+    /** Hears each request that arrived whole and how it ended, on the port's loop: the judge's history. */
+    public interface History {
+        /** Request {@code id} arrived, with this key or null. */
+        void arrived(long at, String id, String key);
+
+        /** The request's answer is written. */
+        void ended(long at, String id, ArchiveServer.Ending how);
+    }
+
+    private record Call(String id, Reply reply) {
+    }
+
+    private final ArchiveServer<Call> core;
+    private final ToDoubleFunction<String> work;
+    private final History history;
+
+    /**
+     * Listens when it returns.
+     *
+     * @param startedAt since when it is warming, in nanoseconds of the JVM's clock
+     * @param work nanoseconds of a core for the request of an id
+     */
+    public ArchiveServerPort(EventLoop loop, InetSocketAddress at, ServerTerms terms, long startedAt,
+                             ToDoubleFunction<String> work, History history) throws IOException {
+        super(loop, at);
+        core = new ArchiveServer<>(terms, System.nanoTime(), startedAt);
+        this.work = work;
+        this.history = history;
+    }
+
+    /** Takes no new work from now on. */
+    public void drain() {
+        carry(core::drain);
+    }
+
+    /** Whether it was pushed over. */
+    public boolean down() {
+        boolean[] down = new boolean[1];
+        carry(() -> down[0] = core.down());
+        return down[0];
+    }
+
+    @Override
+    void request(Reply to, FullHttpRequest request) {
+        String id = request.headers().get("X-Trace-Id");
+        if (id == null) {
+            to.answer(HttpResponseStatus.NOT_FOUND, "");
+            return;
+        }
+        String key = request.headers().get("Idempotency-Key");
+        long now = System.nanoTime();
+        history.arrived(now, id, key);
+        core.arrive(now, new Call(id, to), key, work.applyAsDouble(id));
+    }
+
+    @Override
+    long due(long now) {
+        for (Ended<Call> one = core.poll(now); one != null; one = core.poll(now)) {
+            Call call = one.request();
+            history.ended(now, call.id, one.how());
+            switch (one.how()) {
+                case SERVED, REPEATED -> call.reply.answer(HttpResponseStatus.OK, call.id);
+                case TURNED_AWAY -> call.reply.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "", "X-Never-Ran", "1");
+            }
+        }
+        return core.next();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/stand/http/CounterPort.java
@@ -0,0 +1,73 @@
+package thistlefall.lab.stand.http;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.io.IOException;
+import java.math.BigDecimal;
+import java.math.MathContext;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.Consumer;
+import thistlefall.lab.stand.Counter;
+import thistlefall.lab.stand.Counter.Answer;
+import thistlefall.lab.stand.CounterTerms;
+
+/** The shared counter on sockets (protocol, The counter). */
+public final class CounterPort extends Port {
+    private static final String PATH = "/tally/";
+    private static final int MOST_NAME = 64;
+    private static final double MOST_AMOUNT = 1e9;
+    private static final long MS = 1_000_000L;
+    /** A total is exact to seven digits. */
+    private static final MathContext DIGITS = new MathContext(7);
+
+    private final Counter<Reply> core;
+
+    /** Listens when it returns; it begins empty. */
+    public CounterPort(EventLoop loop, InetSocketAddress at, CounterTerms terms) throws IOException {
+        super(loop, at);
+        core = new Counter<>(terms, System.nanoTime());
+    }
+
+    /** Carries out a fault or a question on its core, on its loop. */
+    public void on(Consumer<Counter<?>> what) {
+        carry(() -> what.accept(core));
+    }
+
+    @Override
+    void request(Reply to, FullHttpRequest request) {
+        QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+        String name = uri.rawPath().startsWith(PATH) ? uri.rawPath().substring(PATH.length()) : "";
+        double amount = number(uri.parameters().get("n"));
+        double life = number(uri.parameters().get("keep_ms"));
+        if (request.method() != HttpMethod.POST || name.isEmpty() || name.length() > MOST_NAME
+            || !(Math.abs(amount) <= MOST_AMOUNT) || !(life >= 1)) {
+            to.answer(HttpResponseStatus.BAD_REQUEST, "");
+            return;
+        }
+        core.call(System.nanoTime(), to, name, amount, (long) Math.min(life, Long.MAX_VALUE / MS) * MS);
+    }
+
+    private static double number(List<String> values) {
+        try {
+            return values == null ? Double.NaN : Double.parseDouble(values.get(0));
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+
+    @Override
+    long due(long now) {
+        for (Answer<Reply> one = core.poll(now); one != null; one = core.poll(now)) {
+            if (one.total() == null) {
+                one.call().answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "");
+            } else {
+                one.call().answer(HttpResponseStatus.OK, new BigDecimal(one.total()).round(DIGITS).toPlainString());
+            }
+        }
+        return core.next();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/stand/http/DiscoveryPort.java
@@ -0,0 +1,113 @@
+package thistlefall.lab.stand.http;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import thistlefall.lab.stand.Agent;
+import thistlefall.lab.stand.Member;
+import thistlefall.lab.stand.Roll;
+import thistlefall.lab.stand.Watch;
+
+/** Discovery's agent of one edge node on sockets (protocol, Discovery). */
+public final class DiscoveryPort extends Port {
+    private static final String PATH = "/catalog/members";
+
+    private final Agent agent;
+    private final Map<Channel, Watch> watches = new LinkedHashMap<>();
+
+    /** Listens when it returns. */
+    public DiscoveryPort(EventLoop loop, InetSocketAddress at, Roll begin) throws IOException {
+        super(loop, at);
+        agent = new Agent(begin);
+    }
+
+    /** Discovery sends a change, which takes so many nanoseconds to the agent. */
+    public void send(Roll change, long delay) {
+        carry(() -> agent.send(System.nanoTime(), change, delay));
+    }
+
+    /** Whether discovery is down: the agent says nothing. */
+    public void silent(boolean down) {
+        carry(() -> agent.silent(down));
+    }
+
+    @Override
+    void request(Reply to, FullHttpRequest request) {
+        QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+        if (!uri.path().equals(PATH)) {
+            to.answer(HttpResponseStatus.NOT_FOUND, "");
+            return;
+        }
+        long now = System.nanoTime();
+        agent.advance(now);
+        if (uri.parameters().getOrDefault("watch", List.of()).equals(List.of("1"))) {
+            DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            to.channel().writeAndFlush(head);
+            watches.put(to.channel(), new Watch(agent, now, after(uri)));
+        } else if (!agent.silent()) {
+            to.answer(HttpResponseStatus.OK, text(agent.whole()));
+        }
+    }
+
+    private static long after(QueryStringDecoder uri) {
+        try {
+            return Long.parseLong(uri.parameters().getOrDefault("after", List.of("")).get(0));
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    @Override
+    void gone(Channel client) {
+        watches.remove(client);
+    }
+
+    @Override
+    long due(long now) {
+        agent.advance(now);
+        long next = agent.silent() ? Long.MAX_VALUE : agent.next();
+        for (Map.Entry<Channel, Watch> one : watches.entrySet()) {
+            Roll roll = one.getValue().poll(now);
+            if (roll != null) {
+                boolean nothing = roll.members().isEmpty() && !roll.complete();
+                one.getKey().writeAndFlush(new DefaultHttpContent(
+                    Unpooled.copiedBuffer((nothing ? "" : text(roll)) + "\n", StandardCharsets.UTF_8)));
+            }
+            next = Math.min(next, one.getValue().next());
+        }
+        return next;
+    }
+
+    private static String text(Roll roll) {
+        ObjectNode object = JsonNodeFactory.instance.objectNode();
+        object.put("revision", roll.revision()).put("complete", roll.complete());
+        ArrayNode members = object.putArray("members");
+        for (Member one : roll.members()) {
+            String phase = one.phase().name();
+            members.addObject().put("id", one.id()).put("host_port", one.address()).put("locality", one.locality())
+                .put("flavor", one.flavor()).put("cell", one.cell())
+                .put("phase", phase.charAt(0) + phase.substring(1).toLowerCase(Locale.ROOT)).put("size", one.size())
+                .put("up_since_ms", one.upSince());
+        }
+        return object.toString();
+    }
+}
