Lab: fleets of real edge nodes with a link between every two that speak

Need: several processes of serve, faults between them, inside the one test command. Change: Fleet starts stand-ins, links and processes from a Topology and writes each node's configuration; FleetTest plays three nodes. A door whose address is not free yet, because a selector closes at its next turn, tries again.

--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/fleet/Fleet.java
@@ -0,0 +1,266 @@
+package thistlefall.lab.fleet;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
+import thistlefall.lab.net.Conditions;
+import thistlefall.lab.net.Faults;
+import thistlefall.lab.net.Party;
+import thistlefall.lab.net.Selector;
+import thistlefall.lab.net.TcpLink;
+import thistlefall.lab.process.DeployFile;
+import thistlefall.lab.process.Guard;
+import thistlefall.lab.process.NodeProcess;
+import thistlefall.lab.process.NodeProcess.Signal;
+import thistlefall.lab.stand.CounterTerms;
+import thistlefall.lab.stand.Member;
+import thistlefall.lab.stand.Member.Phase;
+import thistlefall.lab.stand.Roll;
+import thistlefall.lab.stand.ServerTerms;
+import thistlefall.lab.stand.http.ArchiveServerPort;
+import thistlefall.lab.stand.http.CounterPort;
+import thistlefall.lab.stand.http.DiscoveryPort;
+
+/**
+ * Edge nodes as processes, their stand-ins, and a link between every two that speak. Faults and processes are changed
+ * by one thread. Everything listens in 127.0.0.0/8 and ends with {@link #close()} or with this process.
+ */
+public final class Fleet implements AutoCloseable {
+    /** Hears what reaches an archive server and how it ends. */
+    public interface History {
+        /** What one server tells. */
+        ArchiveServerPort.History of(Party server);
+    }
+
+    /** What the stand-ins are made of. */
+    public record Terms(ServerTerms servers, CounterTerms counter, ToDoubleFunction<String> work) {
+    }
+
+    private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
+    private static final int LOOPS = 2;
+    private static final String SERVING = "serving on ";
+    /** A node that does not listen by then never will. */
+    private static final long START_S = 60;
+
+    /** Both ends of a link, and the link. */
+    private record Way(Party from, Party to, TcpLink link) {
+    }
+
+    private final Topology topology;
+    private final DeployFile deploy;
+    private final Path folder;
+    private final Terms terms;
+    private final History history;
+    private final SplittableRandom chance;
+    private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(LOOPS, NioIoHandler.newFactory());
+    private final Guard guard = new Guard();
+    private final Faults faults = new Faults();
+    private final List<Way> ways = new ArrayList<>();
+    private final CounterPort counter;
+    private final Map<Party, ArchiveServerPort> servers = new LinkedHashMap<>();
+    private final Map<Party, Long> startedMs = new HashMap<>();
+    private final Map<Party, Map<Party, InetSocketAddress>> reached = new HashMap<>();
+    private final Map<Party, DiscoveryPort> agents = new HashMap<>();
+    private final Map<Party, NodeProcess> processes = new HashMap<>();
+    private final Map<Party, InetSocketAddress> doors = new HashMap<>();
+    private final Map<Party, List<String>> logs = new ConcurrentHashMap<>();
+    private long revision = 1;
+
+    /** Starts the stand-ins, all warm, and their links; no edge node yet. */
+    public Fleet(Topology topology, DeployFile deploy, Path folder, Terms terms, History history, long seed) throws IOException {
+        this.topology = topology;
+        this.deploy = deploy;
+        this.folder = folder;
+        this.terms = terms;
+        this.history = history;
+        chance = new SplittableRandom(seed);
+        counter = new CounterPort(loops.next(), ANY, terms.counter());
+        for (Party server : topology.servers()) {
+            startedMs.put(server, 0L);
+            servers.put(server, new ArchiveServerPort(loops.next(), ANY, terms.servers(),
+                System.nanoTime() - terms.servers().ramp(), terms.work(), history.of(server)));
+        }
+        for (Party node : topology.nodes()) {
+            Map<Party, InetSocketAddress> to = new LinkedHashMap<>();
+            for (Party server : topology.servers()) {
+                to.put(server, link(node, server, servers.get(server).address()));
+            }
+            reached.put(node, to);
+            agents.put(node, new DiscoveryPort(loops.next(), ANY, list(node)));
+        }
+    }
+
+    private InetSocketAddress link(Party from, Party to, InetSocketAddress target) throws IOException {
+        TcpLink link = new TcpLink(loops.next(), ANY, target, () -> faults.between(from, to), () -> faults.between(to, from),
+            chance.split());
+        ways.add(new Way(from, to, link));
+        return link.address();
+    }
+
+    private Roll list(Party node) {
+        return new Roll(revision, true, topology.servers().stream().map(server -> member(node, server, Phase.READY)).toList());
+    }
+
+    private Member member(Party node, Party server, Phase phase) {
+        return new Member(server.name(), NodeConfig.text(reached.get(node).get(server)), server.zone(), "std-4core",
+            topology.zones().indexOf(server.zone()), phase, 1, startedMs.get(server));
+    }
+
+    /** Starts a node's process, again too, and returns when it listens. */
+    public void start(Party node) throws IOException, InterruptedException {
+        Path own = Files.createDirectories(folder.resolve(node.name()));
+        InetSocketAddress listen = doors.getOrDefault(node, ANY);
+        Path config = own.resolve("config.json");
+        InetSocketAddress counterAt = ways.stream().filter(way -> way.from.equals(node) && way.to.equals(topology.counter()))
+            .findFirst().map(way -> way.link.address()).orElse(null);
+        if (counterAt == null) {
+            counterAt = link(node, topology.counter(), counter.address());
+        }
+        Files.writeString(config, NodeConfig.text(topology, node, listen, agents.get(node).address(), counterAt, list(node),
+            chance.nextLong()));
+        BlockingQueue<String> serving = new LinkedBlockingQueue<>();
+        List<String> log = logs.computeIfAbsent(node, any -> new CopyOnWriteArrayList<>());
+        processes.put(node, NodeProcess.start(deploy, Files.createDirectories(own.resolve("tmp")),
+            Map.of("GW_CONFIG", config.toAbsolutePath().toString(), "GW_NAME", node.name()), guard, line -> {
+                log.add(line.text());
+                if (line.text().startsWith(SERVING)) {
+                    serving.add(line.text());
+                }
+            }));
+        String line = serving.poll(START_S, TimeUnit.SECONDS);
+        if (line == null) {
+            throw new IOException(node.name() + " does not listen: " + log);
+        }
+        if (!doors.containsKey(node)) {
+            InetSocketAddress at = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
+            doors.put(node, at);
+            link(topology.front(), node, at);
+        } else {
+            up(node, true);
+        }
+    }
+
+    private void up(Party to, boolean runs) throws IOException {
+        for (Way way : ways) {
+            if (way.to.equals(to)) {
+                way.link.up(runs);
+            }
+        }
+    }
+
+    /** Where clients reach a node. */
+    public InetSocketAddress door(Party node) {
+        return ways.stream().filter(way -> way.from.equals(topology.front()) && way.to.equals(node)).findFirst()
+            .orElseThrow().link.address();
+    }
+
+    /** Sends a signal to a node's process; after a kill it is gone for whoever connects. */
+    public void signal(Party node, Signal what) throws IOException {
+        processes.get(node).signal(what);
+        if (what == Signal.KILL) {
+            processes.get(node).ended().join();
+            up(node, false);
+        }
+    }
+
+    /** Its process, for its end and its number. */
+    public NodeProcess process(Party node) {
+        return processes.get(node);
+    }
+
+    /** A node's log up to now. */
+    public List<String> log(Party node) {
+        return List.copyOf(logs.getOrDefault(node, List.of()));
+    }
+
+    /** An archive server's process dies. */
+    public void kill(Party server) throws IOException {
+        servers.get(server).close();
+        up(server, false);
+    }
+
+    /** It starts again at its address, cold, and discovery lists it after {@code delay} nanoseconds. */
+    public void restart(Party server, long delay) throws IOException {
+        servers.put(server, new ArchiveServerPort(loops.next(), servers.get(server).address(), terms.servers(),
+            System.nanoTime(), terms.work(), history.of(server)));
+        startedMs.put(server, System.currentTimeMillis());
+        up(server, true);
+        tell(server, Phase.READY, delay);
+    }
+
+    /** Whether an archive server was pushed over. */
+    public boolean down(Party server) {
+        return servers.get(server).down();
+    }
+
+    /** An archive server drains, and discovery says so after {@code delay} nanoseconds. */
+    public void drain(Party server, long delay) {
+        servers.get(server).drain();
+        tell(server, Phase.TERMINATING, delay);
+    }
+
+    private void tell(Party server, Phase phase, long delay) {
+        revision++;
+        agents.forEach((node, agent) -> agent.send(new Roll(revision, false, List.of(member(node, server, phase))), delay));
+    }
+
+    /** Discovery says nothing at this node, or does again. */
+    public void silent(Party node, boolean down) {
+        agents.get(node).silent(down);
+    }
+
+    /** From now on the way between these is so, in the one direction or in both. */
+    public void fault(String name, Selector from, Selector to, boolean both, Conditions conditions) throws IOException {
+        faults.set(name, from, to, conditions);
+        if (both) {
+            faults.set(name + " back", to, from, conditions);
+        }
+        changed();
+    }
+
+    /** Ends a fault. */
+    public void clear(String name) throws IOException {
+        faults.clear(name);
+        faults.clear(name + " back");
+        changed();
+    }
+
+    private void changed() throws IOException {
+        for (Way way : ways) {
+            way.link.changed();
+        }
+    }
+
+    /** The shared counter. */
+    public CounterPort counter() {
+        return counter;
+    }
+
+    @Override
+    public void close() throws IOException {
+        guard.close();
+        for (Way way : ways) {
+            way.link.close();
+        }
+        servers.values().forEach(ArchiveServerPort::close);
+        agents.values().forEach(DiscoveryPort::close);
+        counter.close();
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** A fleet of real edge nodes among stand-ins, with a link between every two that speak ({@code docs/design/lab.md}). */
+package thistlefall.lab.fleet;
--- a/lab/src/main/java/thistlefall/lab/net/Door.java
+++ b/lab/src/main/java/thistlefall/lab/net/Door.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 
 /** A listening address whose manners change: it takes connections, refuses them, or lets none come up. */
@@ -15,6 +16,8 @@
     enum State { TAKES, REFUSES, SILENT }
 
     private static final int LINE = 1_024;
+    /** A selector gives a closed listener's address free only at its next turn. */
+    private static final int TRIES = 200, BETWEEN_MS = 5;
 
     private final ServerBootstrap bootstrap;
     private InetSocketAddress at;
@@ -53,19 +56,39 @@
             deaf = null;
         }
         state = State.REFUSES;
-        if (next == State.TAKES) {
-            var bound = bootstrap.bind(at).awaitUninterruptibly();
-            if (!bound.isSuccess()) {
-                throw new IOException("cannot listen at " + at, bound.cause());
+        for (int left = TRIES; next != State.REFUSES && !bind(next, left == 1); left--) {
+            try {
+                Thread.sleep(BETWEEN_MS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new IOException("interrupted before it could listen at " + at, e);
             }
-            listening = bound.channel();
-            at = (InetSocketAddress) listening.localAddress();
-        } else if (next == State.SILENT) {
-            deaf = new DeafListener(at);
         }
         state = next;
     }
 
+    /** Whether the address could be had; one that can't is an error only the {@code last} time. */
+    private boolean bind(State as, boolean last) throws IOException {
+        try {
+            if (as == State.SILENT) {
+                deaf = new DeafListener(at);
+            } else {
+                var bound = bootstrap.bind(at).awaitUninterruptibly();
+                if (!bound.isSuccess()) {
+                    throw new BindException(bound.cause().getMessage());
+                }
+                listening = bound.channel();
+                at = (InetSocketAddress) listening.localAddress();
+            }
+            return true;
+        } catch (BindException e) {
+            if (last) {
+                throw new IOException("cannot listen at " + at, e);
+            }
+            return false;
+        }
+    }
+
     @Override
     public void close() throws IOException {
         be(State.REFUSES);
--- a/lab/src/main/java/thistlefall/lab/stand/http/DiscoveryPort.java
+++ b/lab/src/main/java/thistlefall/lab/stand/http/DiscoveryPort.java
@@ -1,8 +1,5 @@
 package thistlefall.lab.stand.http;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
@@ -19,10 +16,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import thistlefall.lab.stand.Agent;
-import thistlefall.lab.stand.Member;
 import thistlefall.lab.stand.Roll;
 import thistlefall.lab.stand.Watch;
 
@@ -64,7 +59,7 @@
             to.channel().writeAndFlush(head);
             watches.put(to.channel(), new Watch(agent, now, after(uri)));
         } else if (!agent.silent()) {
-            to.answer(HttpResponseStatus.OK, text(agent.whole()));
+            to.answer(HttpResponseStatus.OK, agent.whole().json());
         }
     }
 
@@ -90,24 +85,10 @@
             if (roll != null) {
                 boolean nothing = roll.members().isEmpty() && !roll.complete();
                 one.getKey().writeAndFlush(new DefaultHttpContent(
-                    Unpooled.copiedBuffer((nothing ? "" : text(roll)) + "\n", StandardCharsets.UTF_8)));
+                    Unpooled.copiedBuffer((nothing ? "" : roll.json()) + "\n", StandardCharsets.UTF_8)));
             }
             next = Math.min(next, one.getValue().next());
         }
         return next;
     }
-
-    private static String text(Roll roll) {
-        ObjectNode object = JsonNodeFactory.instance.objectNode();
-        object.put("revision", roll.revision()).put("complete", roll.complete());
-        ArrayNode members = object.putArray("members");
-        for (Member one : roll.members()) {
-            String phase = one.phase().name();
-            members.addObject().put("id", one.id()).put("host_port", one.address()).put("locality", one.locality())
-                .put("flavor", one.flavor()).put("cell", one.cell())
-                .put("phase", phase.charAt(0) + phase.substring(1).toLowerCase(Locale.ROOT)).put("size", one.size())
-                .put("up_since_ms", one.upSince());
-        }
-        return object.toString();
-    }
 }
--- /dev/null
+++ b/lab/src/test/java/thistlefall/lab/fleet/FleetTest.java
@@ -0,0 +1,142 @@
+package thistlefall.lab.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.HttpURLConnection;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import thistlefall.lab.net.Conditions;
+import thistlefall.lab.net.Party;
+import thistlefall.lab.net.Selector;
+import thistlefall.lab.process.DeployFile;
+import thistlefall.lab.process.NodeProcess.Signal;
+import thistlefall.lab.stand.ArchiveServer;
+import thistlefall.lab.stand.CounterTerms;
+import thistlefall.lab.stand.ServerTerms;
+import thistlefall.lab.stand.http.ArchiveServerPort;
+
+/** Three processes of the program among stand-ins, with faults between them. */
+@Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class FleetTest {
+    private static final long MS = 1_000_000L, SECOND = 1_000 * MS;
+    private static final int DEADLINE_MS = 6_000;
+    @TempDir
+    Path folder;
+    private final Topology topology = Topology.even(List.of("a", "b"), 3, 6);
+    /** Which server served a request. */
+    private final Map<String, Party> served = new ConcurrentHashMap<>();
+    private final Set<String> arrived = ConcurrentHashMap.newKeySet();
+    private Fleet fleet;
+    private int asked;
+
+    private ArchiveServerPort.History history(Party server) {
+        return new ArchiveServerPort.History() {
+            @Override
+            public void arrived(long at, String id, String key) {
+                arrived.add(id + " at " + server.name());
+            }
+
+            @Override
+            public void ended(long at, String id, ArchiveServer.Ending how) {
+                served.put(id, server);
+            }
+        };
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new Fleet(topology, DeployFile.read(Path.of("..").toRealPath()), folder,
+            new Fleet.Terms(new ServerTerms(4, 16, 50, 0.24, 17 * SECOND, 2.5, 1_500 * MS, 6 * SECOND),
+                new CounterTerms(2, MS, 500), id -> 5 * MS), this::history, 1);
+        for (Party node : topology.nodes()) {
+            fleet.start(node);
+        }
+        for (Party node : topology.nodes()) {
+            ready(node);
+        }
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        fleet.close();
+    }
+
+    private HttpURLConnection to(Party node, String path) throws IOException {
+        InetSocketAddress at = fleet.door(node);
+        HttpURLConnection call = (HttpURLConnection)
+            URI.create("http://127.0.0.1:" + at.getPort() + path).toURL().openConnection();
+        call.setReadTimeout(DEADLINE_MS + 1_000);
+        return call;
+    }
+
+    private void ready(Party node) throws Exception {
+        while (to(node, "/_health").getResponseCode() != 200) {
+            Thread.sleep(20);
+        }
+    }
+
+    /** One request of a customer of its own; its id, if it was served, else its status. */
+    private String ask(Party node) throws IOException {
+        String id = "t-" + asked++;
+        HttpURLConnection call = to(node, "/api");
+        call.setRequestProperty("X-Trace-Id", id);
+        call.setRequestProperty("X-Qos", "search");
+        call.setRequestProperty("X-Plan", "editorial");
+        call.setRequestProperty("Cookie", String.format("customer=%016x", asked));
+        call.setRequestProperty("X-Expires-In-Ms", Integer.toString(DEADLINE_MS));
+        call.setRequestProperty("X-Quota", "units=1,spread=3,first=0");
+        int status = call.getResponseCode();
+        if (status != 200) {
+            return Integer.toString(status);
+        }
+        assertEquals(id, new String(call.getInputStream().readAllBytes()));
+        return id;
+    }
+
+    @Test
+    void aCutZoneIsServedAroundAndAKilledNodeComesBack() throws Exception {
+        Party first = topology.nodes().get(0), other = topology.nodes().get(1);
+        for (int i = 0; i < 30; i++) {
+            String id = ask(topology.nodes().get(i % 3));
+            assertTrue(served.containsKey(id), id + ": " + fleet.log(first));
+        }
+        // All that stands in b is cut off from whoever does not; n0 stands in a.
+        fleet.fault("cut", Selector.parse("zone:b"), Selector.parse("!zone:b"), true, Conditions.CUT);
+        arrived.clear();
+        int running = 0;
+        for (int i = 0; running < 20; i++) {
+            assertTrue(i < 200, "never served: " + fleet.log(first));
+            String id = ask(first);
+            running = served.containsKey(id) ? running + 1 : 0;
+        }
+        assertTrue(arrived.stream().noneMatch(one -> List.of("s1", "s3", "s5").contains(one.substring(one.indexOf("at ") + 3))),
+            "a request crossed the cut: " + arrived);
+        fleet.clear("cut");
+        String again = ask(other);
+        assertTrue(served.containsKey(again), again);
+
+        fleet.signal(first, Signal.KILL);
+        assertEquals(137, fleet.process(first).ended().get());
+        assertThrows(ConnectException.class, () -> ask(first));
+        fleet.start(first);
+        ready(first);
+        String id = ask(first);
+        assertTrue(served.containsKey(id), id);
+        fleet.signal(first, Signal.TERM);
+        assertEquals(0, fleet.process(first).ended().get(), "it did not drain: " + fleet.log(first));
+    }
+}
