--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/load/Plan.java
@@ -0,0 +1,19 @@
+package thistlefall.lab.load;
+
+/**
+ * A plan, as the settings name it, and the customers who have it.
+ *
+ * @param customers how many
+ * @param rate requests a second that each is allowed, above 0
+ * @param use which part of that each asks for on average; above 1 is beyond the quota
+ * @param spread through how many edge nodes in a row each comes, 1 or more
+ */
+public record Plan(String name, int customers, double rate, double use, int spread) {
+    /** Checks its ranges; the message names the figure. */
+    public Plan {
+        if (customers < 0 || !(rate > 0) || !(use >= 0) || spread < 1) {
+            throw new IllegalArgumentException(name + ": "
+                + (customers < 0 ? "customers" : !(rate > 0) ? "rate" : !(use >= 0) ? "use" : "spread") + " is out of its range");
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/load/package-info.java
@@ -0,0 +1,2 @@
+/** What clients ask for, drawn ahead from a seed ({@code docs/design/lab.md}). */
+package thistlefall.lab.load;
