--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/judge/Event.java
@@ -0,0 +1,51 @@
+package thistlefall.lab.judge;
+
+/** Something seen at the edge of a fleet, by the clients, the archive servers or the lab itself; times are nanoseconds. */
+public sealed interface Event {
+    /** When. */
+    long at();
+
+    /** A request's last byte was written to a node. {@code requestClass} and {@code plan} are indices. */
+    record Asked(long at, String id, String node, long customer, int plan, int requestClass, long deadline) implements Event {
+    }
+
+    /** The last byte of a request's answer came. */
+    record Answered(long at, String id, int status) implements Event {
+    }
+
+    /** A request's connection was ended by the node without a whole answer. */
+    record Broken(long at, String id) implements Event {
+    }
+
+    /** The client went away before the answer. */
+    record Left(long at, String id) implements Event {
+    }
+
+    /** An attempt of a request arrived whole at a server. */
+    record Sent(long at, String id, String server) implements Event {
+    }
+
+    /** A server turned an attempt away: it never ran. */
+    record TurnedAway(long at, String id, String server) implements Event {
+    }
+
+    /** A node was told that a server drains or is gone. */
+    record Told(long at, String node, String server) implements Event {
+    }
+
+    /** A server started, cold; whoever was told before that it drains may send again. */
+    record Started(long at, String server) implements Event {
+    }
+
+    /** A cold server was pushed over. */
+    record Fell(long at, String server) implements Event {
+    }
+
+    /** The lab ended a node's process; what it held is lost by no fault of its own. */
+    record Killed(long at, String node) implements Event {
+    }
+
+    /** A node's process ended by itself. */
+    record Crashed(long at, String node, int status) implements Event {
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/judge/Judge.java
@@ -0,0 +1,187 @@
+package thistlefall.lab.judge;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import thistlefall.lab.judge.Event.Answered;
+import thistlefall.lab.judge.Event.Asked;
+import thistlefall.lab.judge.Event.Broken;
+import thistlefall.lab.judge.Event.Crashed;
+import thistlefall.lab.judge.Event.Fell;
+import thistlefall.lab.judge.Event.Killed;
+import thistlefall.lab.judge.Event.Left;
+import thistlefall.lab.judge.Event.Sent;
+import thistlefall.lab.judge.Event.Started;
+import thistlefall.lab.judge.Event.Told;
+import thistlefall.lab.judge.Event.TurnedAway;
+import thistlefall.lab.judge.Finding.Rule;
+import thistlefall.lab.judge.Terms.Ceiling;
+import thistlefall.lab.judge.Terms.Repeat;
+
+/** Finds the broken rules in a history. It knows nothing of the program: only who asked, what arrived, what was answered. */
+public final class Judge {
+    private static final double SECOND = 1e9;
+    private static final int OK = 200, TOO_MANY = 429, UNAVAILABLE = 503;
+
+    /** A request as it stands. */
+    private static final class Request {
+        final Asked asked;
+        int answers, attempts, mayHaveRun;
+        long firstSent;
+        boolean over;
+
+        Request(Asked asked) {
+            this.asked = asked;
+        }
+    }
+
+    private static final class Store {
+        double units;
+        long at;
+
+        Store(double units, long at) {
+            this.units = units;
+            this.at = at;
+        }
+    }
+
+    private final Terms terms;
+    private final List<Finding> findings = new ArrayList<>();
+    private final Map<String, Request> requests = new HashMap<>();
+    private final Map<String, Map<String, Long>> told = new HashMap<>();
+    private final Map<Long, Store> stores = new HashMap<>();
+
+    private Judge(Terms terms) {
+        this.terms = terms;
+    }
+
+    /** All findings of a history, in the order of their times; events may come in any order, {@code end} is after the last. */
+    public static List<Finding> judge(Terms terms, List<Event> history, long end) {
+        Judge judge = new Judge(terms);
+        history.stream().sorted(Comparator.comparingLong(Event::at)).forEach(judge::take);
+        for (Request request : judge.requests.values()) {
+            if (!request.over && request.asked.deadline() + terms.answerSlack() <= end) {
+                judge.find(Rule.ANSWER, request.asked.deadline() + terms.answerSlack(), request.asked, "never answered");
+            }
+        }
+        judge.findings.sort(Comparator.comparingLong(Finding::at).thenComparing(Finding::id));
+        return List.copyOf(judge.findings);
+    }
+
+    private void find(Rule rule, long at, Asked of, String text) {
+        findings.add(new Finding(rule, at, of.id(), of.node(), text));
+    }
+
+    private void take(Event event) {
+        if (event instanceof Asked asked) {
+            requests.put(asked.id(), new Request(asked));
+        } else if (event instanceof Answered answered) {
+            answered(answered);
+        } else if (event instanceof Broken broken) {
+            ended(broken.id(), broken.at(), true);
+        } else if (event instanceof Left left) {
+            ended(left.id(), left.at(), false);
+        } else if (event instanceof Sent sent) {
+            sent(sent);
+        } else if (event instanceof TurnedAway away) {
+            Request request = requests.get(away.id());
+            if (request != null) {
+                request.mayHaveRun--;
+            }
+        } else if (event instanceof Told one) {
+            told.computeIfAbsent(one.server(), any -> new HashMap<>()).putIfAbsent(one.node(), one.at());
+        } else if (event instanceof Started started) {
+            told.remove(started.server());
+        } else if (event instanceof Fell fell) {
+            findings.add(new Finding(Rule.COLD, fell.at(), "", "", fell.server() + " was pushed over while cold"));
+        } else if (event instanceof Killed killed) {
+            requests.values().stream().filter(request -> request.asked.node().equals(killed.node()))
+                .forEach(request -> request.over = true);
+        } else if (event instanceof Crashed crashed) {
+            findings.add(new Finding(Rule.CRASH, crashed.at(), "", crashed.node(), "ended by itself with " + crashed.status()));
+        }
+    }
+
+    private void answered(Answered answered) {
+        Request request = requests.get(answered.id());
+        if (request == null) {
+            return;
+        }
+        Asked asked = request.asked;
+        if (++request.answers > 1) {
+            find(Rule.ANSWER, answered.at(), asked, "answered once more, with " + answered.status());
+            return;
+        }
+        request.over = true;
+        long late = answered.at() - asked.deadline() - terms.answerSlack();
+        if (late > 0) {
+            find(Rule.ANSWER, answered.at(), asked, "answered " + late / 1_000_000 + " ms after its time");
+        }
+        if (answered.status() == OK && request.attempts == 0) {
+            find(Rule.ANSWER, answered.at(), asked, "answered as served, and no attempt reached a server");
+        }
+        boolean refused = answered.status() == TOO_MANY || answered.status() == UNAVAILABLE;
+        if (refused && request.mayHaveRun > 0 && kind(asked) == Repeat.Kind.UNSAFE) {
+            find(Rule.DUPLICATE, answered.at(), asked, "refused though it may have run");
+        }
+    }
+
+    private void ended(String id, long at, boolean byNode) {
+        Request request = requests.get(id);
+        if (request != null && !request.over) {
+            request.over = true;
+            if (byNode) {
+                find(Rule.ANSWER, at, request.asked, "its connection ended without a whole answer");
+            }
+        }
+    }
+
+    private Repeat.Kind kind(Asked asked) {
+        return terms.classes().get(asked.requestClass()).kind();
+    }
+
+    private void sent(Sent sent) {
+        Request request = requests.get(sent.id());
+        if (request == null) {
+            findings.add(new Finding(Rule.DUPLICATE, sent.at(), sent.id(), "", "sent to " + sent.server() + ", and no client asked for it"));
+            return;
+        }
+        Asked asked = request.asked;
+        if (request.mayHaveRun > 0) {
+            Repeat repeat = terms.classes().get(asked.requestClass());
+            if (repeat.kind() == Repeat.Kind.UNSAFE) {
+                find(Rule.DUPLICATE, sent.at(), asked, "sent to " + sent.server() + " though it may have run");
+            } else if (repeat.kind() == Repeat.Kind.KEYED && sent.at() - request.firstSent > repeat.keyLife()) {
+                find(Rule.DUPLICATE, sent.at(), asked, "sent to " + sent.server() + " after its key was forgotten");
+            }
+        }
+        Long since = told.getOrDefault(sent.server(), Map.of()).get(asked.node());
+        if (since != null && sent.at() - since > terms.stopWithin()) {
+            find(Rule.DRAIN, sent.at(), asked, "sent to " + sent.server() + " " + (sent.at() - since) / 1_000_000
+                + " ms after the node was told that it drains");
+        }
+        if (request.attempts++ == 0) {
+            request.firstSent = sent.at();
+            draw(sent.at(), asked);
+        }
+        request.mayHaveRun++;
+    }
+
+    /** The first attempt of each request draws its unit from the customer's ceiling. */
+    private void draw(long at, Asked asked) {
+        Ceiling ceiling = terms.plans().get(asked.plan());
+        if (ceiling.rate() == 0) {
+            return;
+        }
+        Store store = stores.computeIfAbsent(asked.customer(), any -> new Store(ceiling.burst(), at));
+        store.units = Math.min(ceiling.burst(), store.units + (at - store.at) * ceiling.rate() / SECOND) - 1;
+        store.at = at;
+        if (store.units < -ceiling.slack()) {
+            find(Rule.CEILING, at, asked, String.format(Locale.ROOT, "customer %016x is %.1f units below its ceiling's store", asked.customer(),
+                -store.units));
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/judge/Terms.java
@@ -0,0 +1,21 @@
+package thistlefall.lab.judge;
+
+import java.util.List;
+
+/**
+ * The figures of the rules; spans are nanoseconds.
+ *
+ * @param answerSlack so long after its deadline an answer still counts
+ * @param stopWithin so long after a node was told that a server drains it may send there
+ */
+public record Terms(long answerSlack, long stopWithin, List<Repeat> classes, List<Ceiling> plans) {
+    /** How a class may be sent again: {@code SAFE} always, {@code KEYED} for {@code keyLife} after it was first sent, else never. */
+    public record Repeat(Kind kind, long keyLife) {
+        /** What a repeat does. */
+        public enum Kind { SAFE, KEYED, UNSAFE }
+    }
+
+    /** A plan's ceiling: a store of {@code burst} units that fills at {@code rate} a second; 0 for none. */
+    public record Ceiling(double rate, double burst, double slack) {
+    }
+}
