--- a/lab/src/main/java/thistlefall/lab/judge/Judge.java
+++ b/lab/src/main/java/thistlefall/lab/judge/Judge.java
@@ -77,13 +77,13 @@
 
     private void take(Event event) {
         if (event instanceof Asked asked) {
-            requests.put(asked.id(), new Request(asked));
+            asked(asked);
         } else if (event instanceof Answered answered) {
             answered(answered);
         } else if (event instanceof Broken broken) {
-            ended(broken.id(), broken.at(), true);
+            broken(broken);
         } else if (event instanceof Left left) {
-            ended(left.id(), left.at(), false);
+            left(left);
         } else if (event instanceof Sent sent) {
             sent(sent);
         } else if (event instanceof TurnedAway away) {
@@ -129,12 +129,28 @@
         }
     }
 
-    private void ended(String id, long at, boolean byNode) {
-        Request request = requests.get(id);
+    /** A client asks again by the same id only if its connection ended: then the first must not have been read. */
+    private void asked(Asked asked) {
+        Request before = requests.put(asked.id(), new Request(asked));
+        if (before != null && !before.over && before.attempts > 0) {
+            find(Rule.ANSWER, asked.at(), before.asked, "its connection ended after an attempt was made");
+        }
+    }
+
+    private void broken(Broken broken) {
+        Request request = requests.get(broken.id());
+        if (request != null && !request.over) {
+            request.over = true;
+            find(Rule.ANSWER, broken.at(), request.asked, "its connection ended without a whole answer");
+        }
+    }
+
+    private void left(Left left) {
+        Request request = requests.get(left.id());
         if (request != null && !request.over) {
             request.over = true;
-            if (byNode) {
-                find(Rule.ANSWER, at, request.asked, "its connection ended without a whole answer");
+            if (left.at() > request.asked.deadline() + terms.answerSlack()) {
+                find(Rule.ANSWER, left.at(), request.asked, "never answered");
             }
         }
     }
--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/load/Clients.java
@@ -0,0 +1,289 @@
+package thistlefall.lab.load;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.IntFunction;
+import thistlefall.lab.judge.Event;
+
+/**
+ * Sends arrivals to edge nodes through the {@link Front} (protocol, Clients to edge nodes), all on one event loop. A
+ * connection carries one request at a time; a client leaves when its time is up, and does not come again.
+ */
+public final class Clients {
+    private static final long MS = 1_000_000L;
+    private static final int MOST_BODY = 1 << 16, CONNECT_MS = 1_000, HEALTH_MS = 100;
+    /** So long after its time a client still looks for the answer, to tell one that is late from none. */
+    private static final long LINGER = 500 * MS;
+    private static final String HEALTH = "/_health";
+
+    private final EventLoop loop;
+    private final List<String> nodes;
+    private final IntFunction<InetSocketAddress> door;
+    private final List<RequestClass> classes;
+    private final List<Plan> plans;
+    private final Front front;
+    private final Consumer<Event> history;
+    private final List<ArrayDeque<Channel>> idle = new ArrayList<>();
+    private final CompletableFuture<Void> done = new CompletableFuture<>();
+    private List<Arrival> arrivals;
+    private long begun;
+    private int next, open;
+
+    /**
+     * Nothing is sent yet.
+     *
+     * @param door where the front reaches a node, by number; asked for each connection
+     * @param history hears what was asked and answered, on the loop
+     */
+    public Clients(EventLoop loop, List<String> nodes, IntFunction<InetSocketAddress> door, List<RequestClass> classes,
+                   List<Plan> plans, long notice, Consumer<Event> history) {
+        this.loop = loop;
+        this.nodes = nodes;
+        this.door = door;
+        this.classes = classes;
+        this.plans = plans;
+        this.history = history;
+        front = new Front(nodes.size(), notice);
+        nodes.forEach(node -> idle.add(new ArrayDeque<>()));
+    }
+
+    /** Sends all at their times from now on; completes when each has ended. */
+    public CompletableFuture<Void> play(List<Arrival> all) {
+        loop.execute(() -> {
+            arrivals = all;
+            begun = System.nanoTime();
+            loop.schedule(this::askHealth, HEALTH_MS, TimeUnit.MILLISECONDS);
+            send();
+        });
+        return done;
+    }
+
+    private void send() {
+        long now = System.nanoTime() - begun;
+        while (next < arrivals.size() && arrivals.get(next).at() <= now) {
+            open++;
+            new Try(arrivals.get(next++)).start();
+        }
+        if (next < arrivals.size()) {
+            loop.schedule(this::send, arrivals.get(next).at() - now, TimeUnit.NANOSECONDS);
+        } else if (open == 0) {
+            done.complete(null);
+        }
+    }
+
+    private void askHealth() {
+        for (int i = 0; i < nodes.size(); i++) {
+            if (front.doubted(i)) {
+                int node = i;
+                connect(node, new Health(node));
+            }
+        }
+        if (!done.isDone()) {
+            loop.schedule(this::askHealth, HEALTH_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private ChannelFuture connect(int node, SimpleChannelInboundHandler<FullHttpResponse> user) {
+        return new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).option(ChannelOption.TCP_NODELAY, true)
+            .handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel made) {
+                    made.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY), user);
+                }
+            }).connect(door.apply(node));
+    }
+
+    private static DefaultFullHttpRequest request(HttpMethod method, String path) {
+        DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.EMPTY_BUFFER);
+        request.headers().set(HttpHeaderNames.HOST, "app.svc").set(HttpHeaderNames.CONTENT_LENGTH, 0);
+        return request;
+    }
+
+    /** One look at a node's health, on a connection of its own. */
+    private final class Health extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final int node;
+
+        Health(int node) {
+            this.node = node;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            context.writeAndFlush(request(HttpMethod.GET, HEALTH));
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
+            if (answer.status().code() == 200) {
+                front.healthy(node);
+            }
+            context.close();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
+    /** A connection: it carries one try after another. */
+    private final class Line extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final int node;
+        private Try current;
+
+        Line(int node, Try first) {
+            this.node = node;
+            current = first;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
+            Try answered = current;
+            current = null;
+            if (HttpUtil.isKeepAlive(answer)) {
+                idle.get(node).push(context.channel());
+            } else {
+                context.close();
+            }
+            if (answered != null) {
+                answered.answered(answer.status().code());
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            idle.get(node).remove(context.channel());
+            if (current != null) {
+                current.broken();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
+    /** One request on its way. */
+    private final class Try {
+        private final Arrival of;
+        private final int spread, node;
+        private final boolean keyed;
+        private Channel on;
+        private long deadline;
+        private boolean reused, over;
+
+        Try(Arrival of) {
+            this.of = of;
+            spread = Math.min(plans.get(of.plan()).spread(), nodes.size());
+            node = front.pick(System.nanoTime(), of, spread);
+            keyed = classes.get(of.requestClass()).keyed();
+        }
+
+        void start() {
+            Channel free = idle.get(node).poll();
+            if (free != null) {
+                reused = true;
+                free.pipeline().get(Line.class).current = this;
+                write(free);
+            } else {
+                open();
+            }
+        }
+
+        private void open() {
+            connect(node, new Line(node, this)).addListener((ChannelFutureListener) made -> {
+                if (made.isSuccess()) {
+                    write(made.channel());
+                } else {
+                    front.refused(System.nanoTime(), node);
+                    end();
+                }
+            });
+        }
+
+        private void write(Channel to) {
+            on = to;
+            long now = System.nanoTime();
+            if (deadline == 0) {
+                deadline = now + of.deadline();
+                loop.schedule(this::leave, of.deadline() + LINGER, TimeUnit.NANOSECONDS);
+            }
+            DefaultFullHttpRequest request = request(keyed ? HttpMethod.POST : HttpMethod.GET, "/api");
+            request.headers().set("X-Trace-Id", of.id()).set("X-Qos", classes.get(of.requestClass()).name())
+                .set("X-Plan", plans.get(of.plan()).name())
+                .set("Cookie", String.format(Locale.ROOT, "customer=%016x", of.customer()))
+                .set("X-Expires-In-Ms", Math.max(1, (deadline - now) / MS))
+                .set("X-Quota", "units=1,spread=" + spread + ",first=" + of.first());
+            if (keyed) {
+                request.headers().set("Idempotency-Key", "k" + of.id());
+            }
+            history.accept(new Event.Asked(now, of.id(), nodes.get(node), of.customer(), of.plan(), of.requestClass(), deadline));
+            to.writeAndFlush(request);
+        }
+
+        void answered(int status) {
+            history.accept(new Event.Answered(System.nanoTime(), of.id(), status));
+            end();
+        }
+
+        /** The close of an idle connection may have crossed the request: that is sent once more on a new one (protocol). */
+        void broken() {
+            if (reused && !over) {
+                reused = false;
+                open();
+                return;
+            }
+            if (!over) {
+                history.accept(new Event.Broken(System.nanoTime(), of.id()));
+            }
+            end();
+        }
+
+        private void leave() {
+            if (!over) {
+                history.accept(new Event.Left(System.nanoTime(), of.id()));
+                end();
+                if (on != null) {
+                    on.close();
+                }
+            }
+        }
+
+        private void end() {
+            if (!over) {
+                over = true;
+                open--;
+                if (open == 0 && next == arrivals.size()) {
+                    done.complete(null);
+                }
+            }
+        }
+    }
+}
--- a/lab/src/test/java/thistlefall/lab/judge/JudgeTest.java
+++ b/lab/src/test/java/thistlefall/lab/judge/JudgeTest.java
@@ -59,6 +59,10 @@
         assertEquals(List.of("ANSWER r n1: its connection ended without a whole answer"), judge(ask, new Broken(MS, "r")));
         assertEquals(List.of("ANSWER r n1: answered as served, and no attempt reached a server"), judge(ask, new Answered(MS, "r", 200)));
         assertEquals(NONE, judge(ask, new Left(MS, "r"), new Broken(2 * MS, "r")));
+        assertEquals(List.of("ANSWER r n1: never answered"), judge(ask, new Left(2 * SECOND, "r")));
+        assertEquals(NONE, judge(ask, ask(MS, "r", FREE, SAFE), new Sent(2 * MS, "r", "s1"), new Answered(3 * MS, "r", 200)));
+        assertEquals(List.of("ANSWER r n1: its connection ended after an attempt was made"),
+            judge(ask, sent, ask(2 * MS, "r", FREE, SAFE), new Answered(3 * MS, "r", 429)));
         assertEquals(NONE, judge(ask, new Answered(MS, "r", 429)));
         assertEquals(NONE, judge(ask, sent, new Killed(2 * MS, "n1"), new Broken(3 * MS, "r")));
         assertEquals(List.of("ANSWER r n1: never answered"), judge(ask, sent, new Killed(2 * MS, "n2")));
