Lab: nodes are told the classes, plans and ceilings of the load; a fleet starts at once

Need: what clients ask and what nodes are told of it must be one thing. Change: RequestClass and Plan carry aim, worth, burst, price and ceiling; NodeConfig writes them; Fleet starts many processes before it waits.

--- a/lab/src/main/java/thistlefall/lab/fleet/Fleet.java
+++ b/lab/src/main/java/thistlefall/lab/fleet/Fleet.java
@@ -4,10 +4,12 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.HttpURLConnection;
 import java.net.InetSocketAddress;
+import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -49,7 +51,7 @@
     }
 
     /** What the stand-ins are made of. */
-    public record Terms(ServerTerms servers, CounterTerms counter, ToDoubleFunction<String> work) {
+    public record Terms(ServerTerms servers, CounterTerms counter, Load load, ToDoubleFunction<String> work) {
     }
 
     private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
@@ -57,6 +59,7 @@
     private static final String SERVING = "serving on ";
     /** A node that does not listen by then never will. */
     private static final long START_S = 60;
+    private static final int HEALTH_MS = 2_000;
 
     /** Both ends of a link, and the link. */
     private record Way(Party from, Party to, TcpLink link) {
@@ -71,7 +74,7 @@
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(LOOPS, NioIoHandler.newFactory());
     private final Guard guard = new Guard();
     private final Faults faults = new Faults();
-    private final List<Way> ways = new ArrayList<>();
+    private final List<Way> ways = new CopyOnWriteArrayList<>();
     private final CounterPort counter;
     private final Map<Party, ArchiveServerPort> servers = new LinkedHashMap<>();
     private final Map<Party, Long> startedMs = new HashMap<>();
@@ -122,18 +125,24 @@
             topology.zones().indexOf(server.zone()), phase, 1, startedMs.get(server));
     }
 
-    /** Starts a node's process, again too, and returns when it listens. */
-    public void start(Party node) throws IOException, InterruptedException {
+    /** Starts these nodes' processes at once, again too, and returns when all listen. */
+    public void start(List<Party> nodes) throws IOException, InterruptedException {
+        Map<Party, BlockingQueue<String>> serving = new LinkedHashMap<>();
+        for (Party node : nodes) {
+            serving.put(node, launch(node));
+        }
+        for (Map.Entry<Party, BlockingQueue<String>> one : serving.entrySet()) {
+            listens(one.getKey(), one.getValue().poll(START_S, TimeUnit.SECONDS));
+        }
+    }
+
+    private BlockingQueue<String> launch(Party node) throws IOException {
         Path own = Files.createDirectories(folder.resolve(node.name()));
-        InetSocketAddress listen = doors.getOrDefault(node, ANY);
         Path config = own.resolve("config.json");
-        InetSocketAddress counterAt = ways.stream().filter(way -> way.from.equals(node) && way.to.equals(topology.counter()))
-            .findFirst().map(way -> way.link.address()).orElse(null);
-        if (counterAt == null) {
-            counterAt = link(node, topology.counter(), counter.address());
-        }
-        Files.writeString(config, NodeConfig.text(topology, node, listen, agents.get(node).address(), counterAt, list(node),
-            chance.nextLong()));
+        Way toCounter = way(node, topology.counter());
+        InetSocketAddress counterAt = toCounter == null ? link(node, topology.counter(), counter.address()) : toCounter.link.address();
+        Files.writeString(config, NodeConfig.text(topology, terms.load(), node, doors.getOrDefault(node, ANY),
+            agents.get(node).address(), counterAt, list(node), chance.nextLong()));
         BlockingQueue<String> serving = new LinkedBlockingQueue<>();
         List<String> log = logs.computeIfAbsent(node, any -> new CopyOnWriteArrayList<>());
         processes.put(node, NodeProcess.start(deploy, Files.createDirectories(own.resolve("tmp")),
@@ -143,9 +152,12 @@
                     serving.add(line.text());
                 }
             }));
-        String line = serving.poll(START_S, TimeUnit.SECONDS);
+        return serving;
+    }
+
+    private void listens(Party node, String line) throws IOException {
         if (line == null) {
-            throw new IOException(node.name() + " does not listen: " + log);
+            throw new IOException(node.name() + " does not listen: " + log(node));
         }
         if (!doors.containsKey(node)) {
             InetSocketAddress at = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
@@ -156,6 +168,20 @@
         }
     }
 
+    private Way way(Party from, Party to) {
+        return ways.stream().filter(way -> way.from.equals(from) && way.to.equals(to)).findFirst().orElse(null);
+    }
+
+    /** Whether a node's health says yes to the front. */
+    public boolean healthy(Party node) throws IOException {
+        InetSocketAddress at = door(node);
+        HttpURLConnection call = (HttpURLConnection)
+            URI.create("http://" + NodeConfig.text(at) + "/_health").toURL().openConnection();
+        call.setConnectTimeout(HEALTH_MS);
+        call.setReadTimeout(HEALTH_MS);
+        return call.getResponseCode() == HttpURLConnection.HTTP_OK;
+    }
+
     private void up(Party to, boolean runs) throws IOException {
         for (Way way : ways) {
             if (way.to.equals(to)) {
@@ -166,8 +192,7 @@
 
     /** Where clients reach a node. */
     public InetSocketAddress door(Party node) {
-        return ways.stream().filter(way -> way.from.equals(topology.front()) && way.to.equals(node)).findFirst()
-            .orElseThrow().link.address();
+        return way(topology.front(), node).link.address();
     }
 
     /** Sends a signal to a node's process; after a kill it is gone for whoever connects. */
@@ -242,8 +267,16 @@
     }
 
     private void changed() throws IOException {
-        for (Way way : ways) {
-            way.link.changed();
+        try {
+            ways.parallelStream().forEach(way -> {
+                try {
+                    way.link.changed();
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            });
+        } catch (UncheckedIOException e) {
+            throw e.getCause();
         }
     }
 
--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/fleet/Load.java
@@ -0,0 +1,17 @@
+package thistlefall.lab.fleet;
+
+import java.util.List;
+import thistlefall.lab.load.Plan;
+import thistlefall.lab.load.RequestClass;
+
+/**
+ * What edge nodes are told of what will be asked.
+ *
+ * @param keyLife for how long archive servers drop repeats of a key, in nanoseconds
+ */
+public record Load(List<RequestClass> classes, List<Plan> plans, long keyLife) {
+    /** Units that a plan's ceiling may be passed by: a tenth of what it holds, one at least. */
+    public double slack(Plan plan) {
+        return Math.max(1, 0.1 * plan.ceiling() * plan.burst());
+    }
+}
--- a/lab/src/main/java/thistlefall/lab/fleet/NodeConfig.java
+++ b/lab/src/main/java/thistlefall/lab/fleet/NodeConfig.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
+import thistlefall.lab.load.Plan;
+import thistlefall.lab.load.RequestClass;
 import thistlefall.lab.net.Party;
 import thistlefall.lab.stand.Roll;
 
@@ -17,7 +19,7 @@
     private NodeConfig() {
     }
 
-    static String text(Topology of, Party node, InetSocketAddress listen, InetSocketAddress discovery,
+    static String text(Topology of, Load load, Party node, InetSocketAddress listen, InetSocketAddress discovery,
                        InetSocketAddress counter, Roll known, long seed) throws IOException {
         ObjectNode settings;
         try (InputStream in = NodeConfig.class.getResourceAsStream("settings.json")) {
@@ -27,6 +29,21 @@
             .put("my-zone", of.zones().indexOf(node.zone()));
         ArrayNode zones = settings.putArray("failure-domains");
         of.zones().forEach(zones::add);
+        ArrayNode classes = settings.putArray("classes");
+        for (RequestClass one : load.classes()) {
+            classes.addObject().put("name", one.name()).put("aim-ns", one.aim()).put("deadline-ns", one.deadline())
+                .put("idempotency", one.keyed() ? "dedup" : "retryable").put("group", "all").put("key-ttl-ns", load.keyLife())
+                .put("late-value", 0).put("worth", one.worth());
+        }
+        ArrayNode plans = settings.putArray("tariffs");
+        for (Plan one : load.plans()) {
+            ObjectNode plan = plans.addObject().put("name", one.name()).put("units-per-s", one.rate()).put("peak-units", one.burst())
+                .put("price", one.price()).put("beyond-earns", 0).put("beyond-costs", 1);
+            if (one.ceiling() > 0) {
+                plan.put("hard-rate", one.ceiling() * one.rate()).put("hard-burst", one.ceiling() * one.burst())
+                    .put("hard-slack", load.slack(one));
+            }
+        }
         ObjectNode root = JSON.createObjectNode();
         root.put("name", node.name()).put("listen", text(listen)).put("discovery", text(discovery))
             .put("counter", text(counter)).put("seed", Long.toHexString(seed));
--- a/lab/src/test/java/thistlefall/lab/fleet/FleetTest.java
+++ b/lab/src/test/java/thistlefall/lab/fleet/FleetTest.java
@@ -47,6 +47,10 @@
 @Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class FleetTest {
     private static final long MS = 1_000_000L, SECOND = 1_000 * MS;
+    private static final List<RequestClass> CLASSES = List.of(new RequestClass("search", 0.63, false, 2 * SECOND, 6 * SECOND, 5 * MS, 1),
+        new RequestClass("license", 0.37, true, 2 * SECOND, 6 * SECOND, 5 * MS, 1));
+    private static final List<Plan> PLANS = List.of(new Plan("basico", 20, 2, 20, 1, 0, 0.4, 3), new Plan("profesional", 10, 4, 20, 1, 2, 0.4, 3),
+        new Plan("editorial", 3, 20, 20, 1, 0, 0.4, 2));
     private static final int DEADLINE_MS = 6_000;
     @TempDir
     Path folder;
@@ -81,10 +85,9 @@
     void start() throws Exception {
         fleet = new Fleet(topology, DeployFile.read(Path.of("..").toRealPath()), folder,
             new Fleet.Terms(new ServerTerms(4, 16, 50, 0.24, 17 * SECOND, 2.5, 1_500 * MS, 6 * SECOND),
-                new CounterTerms(2, MS, 500), id -> 5 * MS), this::history, 1);
-        for (Party node : topology.nodes()) {
-            fleet.start(node);
-        }
+                new CounterTerms(2, MS, 500), new Load(CLASSES, PLANS, 6 * SECOND),
+                id -> 5 * MS), this::history, 1);
+        fleet.start(topology.nodes());
         for (Party node : topology.nodes()) {
             ready(node);
         }
@@ -104,7 +107,7 @@
     }
 
     private void ready(Party node) throws Exception {
-        while (to(node, "/_health").getResponseCode() != 200) {
+        while (!fleet.healthy(node)) {
             Thread.sleep(20);
         }
     }
@@ -152,7 +155,7 @@
         fleet.signal(first, Signal.KILL);
         assertEquals(137, fleet.process(first).ended().get());
         assertThrows(ConnectException.class, () -> ask(first));
-        fleet.start(first);
+        fleet.start(List.of(first));
         ready(first);
         String id = ask(first);
         assertTrue(served.containsKey(id), id);
@@ -163,15 +166,11 @@
     /** A node dies and a zone is cut off under load: every rule holds, and service goes on. */
     @Test
     void theRulesHoldWhileANodeDiesAndAZoneIsCutOff() throws Exception {
-        List<RequestClass> classes = List.of(new RequestClass("search", 0.63, false, 6 * SECOND, 5 * MS),
-            new RequestClass("license", 0.37, true, 6 * SECOND, 5 * MS));
-        List<Plan> plans = List.of(new Plan("basico", 20, 2, 0.4, 3), new Plan("profesional", 10, 4, 0.4, 3),
-            new Plan("editorial", 3, 20, 0.4, 2));
-        var arrivals = Arrivals.draw(new Arrivals.Terms(8 * SECOND, 3, classes, plans, 3 * SECOND, 1), 11);
+        var arrivals = Arrivals.draw(new Arrivals.Terms(8 * SECOND, 3, CLASSES, PLANS, 3 * SECOND, 1), 11);
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
-            Clients clients = new Clients(group.next(), List.of("n0", "n1", "n2"), i -> fleet.door(topology.nodes().get(i)), classes,
-                plans, 2 * SECOND, history::add);
+            Clients clients = new Clients(group.next(), List.of("n0", "n1", "n2"), i -> fleet.door(topology.nodes().get(i)), CLASSES,
+                PLANS, 2 * SECOND, history::add);
             CompletableFuture<Void> done = clients.play(arrivals);
             Thread.sleep(2_000);
             Party first = topology.nodes().get(0);
@@ -180,7 +179,7 @@
             fleet.fault("cut", Selector.parse("zone:b"), Selector.parse("zone:a"), true, Conditions.CUT);
             Thread.sleep(2_000);
             fleet.clear("cut");
-            fleet.start(first);
+            fleet.start(List.of(first));
             done.get();
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
