--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The lab's command line. */
+package thistlefall.lab.cli;
--- a/lab/src/main/java/thistlefall/lab/judge/Event.java
+++ b/lab/src/main/java/thistlefall/lab/judge/Event.java
@@ -41,8 +41,8 @@
     record Fell(long at, String server) implements Event {
     }
 
-    /** The lab ended a node's process; what it held is lost by no fault of its own. */
-    record Killed(long at, String node) implements Event {
+    /** The lab killed a node's process or cut it off from its clients; what they asked it in this span is no fault of its own. */
+    record Lost(long at, String node, long until) implements Event {
     }
 
     /** A node's process ended by itself. */
--- a/lab/src/main/java/thistlefall/lab/load/Clients.java
+++ b/lab/src/main/java/thistlefall/lab/load/Clients.java
@@ -223,6 +223,10 @@
                     write(made.channel());
                 } else {
                     front.refused(System.nanoTime(), node);
+                    if (deadline > 0) {
+                        // Written once to a connection that was closed already, and nobody is there now.
+                        history.accept(new Event.Left(System.nanoTime(), of.id()));
+                    }
                     end();
                 }
             });
