Lab: add up the classes' shares once; leave out calls of a fleet that nobody makes

Need: a read of the whole change: Arrivals built the same array for each request, and Fleet had drain, silent and counter for scenarios that do not exist yet.

--- a/lab/src/main/java/thistlefall/lab/fleet/Fleet.java
+++ b/lab/src/main/java/thistlefall/lab/fleet/Fleet.java
@@ -234,22 +234,11 @@
         return servers.get(server).down();
     }
 
-    /** An archive server drains, and discovery says so after {@code delay} nanoseconds. */
-    public void drain(Party server, long delay) {
-        servers.get(server).drain();
-        tell(server, Phase.TERMINATING, delay);
-    }
-
     private void tell(Party server, Phase phase, long delay) {
         revision++;
         agents.forEach((node, agent) -> agent.send(new Roll(revision, false, List.of(member(node, server, phase))), delay));
     }
 
-    /** Discovery says nothing at this node, or does again. */
-    public void silent(Party node, boolean down) {
-        agents.get(node).silent(down);
-    }
-
     /** From now on the way between these is so, in the one direction or in both. */
     public void fault(String name, Selector from, Selector to, boolean both, Conditions conditions) throws IOException {
         faults.set(name, from, to, conditions);
@@ -280,11 +269,6 @@
         }
     }
 
-    /** The shared counter. */
-    public CounterPort counter() {
-        return counter;
-    }
-
     @Override
     public void close() throws IOException {
         guard.close();
--- a/lab/src/main/java/thistlefall/lab/load/Arrivals.java
+++ b/lab/src/main/java/thistlefall/lab/load/Arrivals.java
@@ -29,11 +29,14 @@
 
     private final Terms terms;
     private final List<Arrival> drawn = new ArrayList<>();
-    private final double shares;
+    /** The classes' shares, and their sum. */
+    private final double[] shares;
+    private final double whole;
 
     private Arrivals(Terms terms) {
         this.terms = terms;
-        shares = terms.classes.stream().mapToDouble(RequestClass::share).sum();
+        shares = terms.classes.stream().mapToDouble(RequestClass::share).toArray();
+        whole = terms.classes.stream().mapToDouble(RequestClass::share).sum();
     }
 
     /** Draws all; the ids begin with {@code r}. */
@@ -67,7 +70,7 @@
                 weights = weights(spread, chance);
                 shiftAt += exponential(terms.shift, chance);
             }
-            int kind = pick(terms.classes.stream().mapToDouble(RequestClass::share).toArray(), shares, chance);
+            int kind = pick(shares, whole, chance);
             RequestClass as = terms.classes.get(kind);
             drawn.add(new Arrival(at, "", customer, plan, kind, first, (first + pick(weights, 1, chance)) % terms.nodes,
                 (long) (as.deadline() * (0.5 + chance.nextDouble() / 2)), exponential(as.work(), chance)));
