Lab: a model of whole fleets on its own clock; compare; how a fleet came back

Change: `lab model` plays a scenario with the program's own Gateway and the lab's stand-ins on a virtual clock; scenario steps act on a Stage that is either real processes or the model. The result has each second, the time to 0.5, 0.9 and 0.99 of the former goodput, and how close the most pressed cold server came to its fall.

--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/cli/Summary.java
@@ -0,0 +1,79 @@
+package thistlefall.lab.cli;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+import thistlefall.lab.scenario.Result;
+
+/** Figures of several plays side by side: for each the median, the least and the most. */
+final class Summary {
+    private static final Map<String, ToDoubleFunction<Result>> FIGURES = new LinkedHashMap<>();
+
+    static {
+        FIGURES.put("goodput", Result::goodput);
+        FIGURES.put("served", Result::served);
+        FIGURES.put("refused", Result::refused);
+        FIGURES.put("failed", Result::failed);
+        FIGURES.put("p99 ms", Result::p99Ms);
+        FIGURES.put("attempts", Result::attempts);
+        FIGURES.put("s to 0.5", one -> one.recovery() == null ? Double.NaN : seconds(one.recovery().toHalf()));
+        FIGURES.put("s to 0.9", one -> one.recovery() == null ? Double.NaN : seconds(one.recovery().toNineTenths()));
+        FIGURES.put("s to 0.99", one -> one.recovery() == null ? Double.NaN : seconds(one.recovery().toAll()));
+        FIGURES.put("cold pressure", Result::pressure);
+        FIGURES.put("servers fallen", Result::fell);
+        FIGURES.put("rules broken", one -> one.findings().size());
+    }
+
+    private final Map<String, List<Result>> columns = new LinkedHashMap<>();
+
+    /** Not by the end: worse than any number. */
+    private static double seconds(int of) {
+        return of < 0 ? Double.POSITIVE_INFINITY : of;
+    }
+
+    void add(String column, Result result) {
+        columns.computeIfAbsent(column, any -> new ArrayList<>()).add(result);
+    }
+
+    /** A table in Markdown; figures that no play has are left out. */
+    void print(PrintStream to) {
+        to.println("| | " + String.join(" | ", columns.keySet()) + " |");
+        to.println("| --- |" + " --- |".repeat(columns.size()));
+        FIGURES.forEach((name, figure) -> {
+            StringBuilder line = new StringBuilder("| " + name + " |");
+            boolean any = false;
+            for (List<Result> results : columns.values()) {
+                double[] sorted = results.stream().mapToDouble(figure).filter(value -> !Double.isNaN(value)).sorted().toArray();
+                any |= sorted.length > 0;
+                line.append(' ').append(cell(sorted)).append(" |");
+            }
+            if (any) {
+                to.println(line);
+            }
+        });
+    }
+
+    private static String cell(double... sorted) {
+        return sorted.length == 0 ? "-" : text(sorted[(sorted.length - 1) / 2])
+            + (sorted.length == 1 ? "" : " (" + text(sorted[0]) + " to " + text(sorted[sorted.length - 1]) + ")");
+    }
+
+    private static String text(double value) {
+        return Double.isInfinite(value) ? "never" : value == Math.rint(value) ? String.format(Locale.ROOT, "%.0f", value)
+            : String.format(Locale.ROOT, Math.abs(value) < 10 ? "%.3f" : "%.0f", value);
+    }
+
+    /** Plays in which a rule was broken. */
+    List<Result> broken() {
+        return columns.values().stream().flatMap(List::stream).filter(one -> !one.findings().isEmpty()).toList();
+    }
+
+    /** The lowest goodput of all. */
+    double leastGoodput() {
+        return columns.values().stream().flatMap(List::stream).mapToDouble(Result::goodput).min().orElse(0);
+    }
+}
--- a/lab/src/main/java/thistlefall/lab/fleet/Fleet.java
+++ b/lab/src/main/java/thistlefall/lab/fleet/Fleet.java
@@ -229,9 +229,14 @@
         tell(server, Phase.READY, delay);
     }
 
-    /** Whether an archive server was pushed over. */
-    public boolean down(Party server) {
-        return servers.get(server).down();
+    /** When an archive server was pushed over, in nanoseconds of the JVM's clock; {@link Long#MAX_VALUE} if it was not. */
+    public long fellAt(Party server) {
+        return servers.get(server).fellAt();
+    }
+
+    /** The most of what it may be sent while cold that an archive server was sent in this life, as a share. */
+    public double pressure(Party server) {
+        return servers.get(server).pressure();
     }
 
     private void tell(Party server, Phase phase, long delay) {
--- a/lab/src/main/java/thistlefall/lab/fleet/NodeConfig.java
+++ b/lab/src/main/java/thistlefall/lab/fleet/NodeConfig.java
@@ -12,15 +12,15 @@
 import thistlefall.lab.stand.Roll;
 
 /** The configuration of one edge node (deployment page), written from the topology and one set of settings. */
-final class NodeConfig {
+public final class NodeConfig {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int SOCKETS = 1_024;
 
     private NodeConfig() {
     }
 
-    static String text(Topology of, Load load, Party node, InetSocketAddress listen, InetSocketAddress discovery,
-                       InetSocketAddress counter, Roll known, long seed) throws IOException {
+    /** What one node is told of the site: the object {@code settings} of its configuration. */
+    public static ObjectNode settings(Topology of, Load load, Party node) throws IOException {
         ObjectNode settings;
         try (InputStream in = NodeConfig.class.getResourceAsStream("settings.json")) {
             settings = (ObjectNode) JSON.readTree(in);
@@ -44,12 +44,17 @@
                     .put("hard-slack", load.slack(one));
             }
         }
+        return settings;
+    }
+
+    static String text(Topology of, Load load, Party node, InetSocketAddress listen, InetSocketAddress discovery,
+                       InetSocketAddress counter, Roll known, long seed) throws IOException {
         ObjectNode root = JSON.createObjectNode();
         root.put("name", node.name()).put("listen", text(listen)).put("discovery", text(discovery))
             .put("counter", text(counter)).put("seed", Long.toHexString(seed));
         root.putObject("limits").put("sockets", SOCKETS);
         root.set("known", JSON.readTree(known.json()));
-        root.set("settings", settings);
+        root.set("settings", settings(of, load, node));
         return JSON.writeValueAsString(root);
     }
 
--- a/lab/src/main/java/thistlefall/lab/judge/Event.java
+++ b/lab/src/main/java/thistlefall/lab/judge/Event.java
@@ -37,6 +37,14 @@
     record Started(long at, String server) implements Event {
     }
 
+    /** The most of what a server may be sent while cold that it was sent, as a share; told at the end of its life or of the play. */
+    record Pressed(long at, String server, double share) implements Event {
+    }
+
+    /** A node was told that a server has started anew, cold. */
+    record Learned(long at, String node, String server) implements Event {
+    }
+
     /** A cold server was pushed over. */
     record Fell(long at, String server) implements Event {
     }
--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/model/CounterHost.java
@@ -0,0 +1,45 @@
+package thistlefall.lab.model;
+
+import java.util.function.Consumer;
+import thistlefall.lab.net.Party;
+import thistlefall.lab.stand.Counter;
+import thistlefall.lab.stand.Counter.Answer;
+import thistlefall.lab.stand.CounterTerms;
+
+/** The shared counter's machine. */
+final class CounterHost {
+    private final Timeline timeline;
+    private final Party party;
+    private final Counter<Consumer<Double>> core;
+    private long wakeAt = Long.MAX_VALUE;
+
+    CounterHost(Timeline timeline, Party party, CounterTerms terms) {
+        this.timeline = timeline;
+        this.party = party;
+        core = new Counter<>(terms, timeline.now());
+    }
+
+    Party party() {
+        return party;
+    }
+
+    /** A call has come; {@code answer} hears the total, or null if it was turned away, at the counter. */
+    void call(String name, double amount, long life, Consumer<Double> answer) {
+        core.call(timeline.now(), answer, name, amount, life);
+        look();
+    }
+
+    private void look() {
+        for (Answer<Consumer<Double>> one = core.poll(timeline.now()); one != null; one = core.poll(timeline.now())) {
+            one.call().accept(one.total());
+        }
+        long next = core.next();
+        if (next < wakeAt) {
+            wakeAt = next;
+            timeline.at(next, () -> {
+                wakeAt = Long.MAX_VALUE;
+                look();
+            });
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/model/Model.java
@@ -0,0 +1,188 @@
+package thistlefall.lab.model;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import thistlefall.Ports.Readiness;
+import thistlefall.Ports.Server;
+import thistlefall.SettingsReader;
+import thistlefall.lab.fleet.NodeConfig;
+import thistlefall.lab.fleet.Topology;
+import thistlefall.lab.judge.Event;
+import thistlefall.lab.load.Arrival;
+import thistlefall.lab.net.Conditions;
+import thistlefall.lab.net.Faults;
+import thistlefall.lab.net.Party;
+import thistlefall.lab.net.Selector;
+import thistlefall.lab.scenario.Result;
+import thistlefall.lab.scenario.Scenario;
+import thistlefall.lab.scenario.Script;
+import thistlefall.lab.scenario.Stage;
+
+/**
+ * One play of a scenario on a clock of its own: the program's module in each node, the lab's stand-ins around them. The
+ * same scenario and seed give the same history, on any machine.
+ */
+public final class Model implements Stage {
+    /** Not 0: that stands for long ago. */
+    private static final long START = 1_000_000_000_000L;
+    /** Long enough for all nodes to be ready, as a play on processes waits for them. */
+    private static final long SETTLE = 3_000_000_000L;
+    private static final long END = 1_000_000_000L;
+    private static final double CORES = 4;
+
+    private final Scenario scenario;
+    private final Topology topology;
+    private final Timeline timeline = new Timeline(START);
+    private final Faults faults = new Faults();
+    private final SplittableRandom chance;
+    private final Network network;
+    private final List<Event> history = new ArrayList<>();
+    private final Map<String, ServerHost> servers = new LinkedHashMap<>();
+    private final Map<Party, NodeHost> nodes = new LinkedHashMap<>();
+
+    private Model(Scenario scenario, Consumer<String> log) throws IOException {
+        this.scenario = scenario;
+        topology = scenario.topology().topology();
+        chance = new SplittableRandom(scenario.seed());
+        network = new Network(timeline, faults, chance.split());
+        for (Party server : topology.servers()) {
+            servers.put(server.name(), new ServerHost(timeline, server, scenario.servers().terms(), history::add));
+        }
+        CounterHost counter = new CounterHost(timeline, topology.counter(), scenario.counter().terms());
+        Map<String, Long> works = new HashMap<>();
+        scenario.arrivals().forEach(one -> works.put(one.id(), one.work()));
+        for (Party node : topology.nodes()) {
+            Map<String, String> pairs = new HashMap<>();
+            flatten("", NodeConfig.settings(topology, scenario.told(), node), pairs);
+            nodes.put(node, new NodeHost(node, new NodeHost.Surroundings(timeline, network, SettingsReader.read(pairs), this::list, servers,
+                counter, works::get, (who, text) -> log.accept(String.format("%.3f s %s: %s", (timeline.now() - START - SETTLE) / 1e9,
+                    who.name(), text))), chance.split()));
+        }
+    }
+
+    /** Plays a scenario from its start to its last answer; {@code log} hears the nodes' own lines. */
+    public static Result of(Scenario scenario, Consumer<String> log) throws IOException, InterruptedException {
+        return new Model(scenario, log).play();
+    }
+
+    private Result play() throws IOException, InterruptedException {
+        nodes.values().forEach(NodeHost::start);
+        timeline.run(START + SETTLE);
+        List<Arrival> arrivals = scenario.arrivals();
+        long begun = timeline.now();
+        new ClientsHost(timeline, network, topology.front(), List.copyOf(nodes.values()), scenario.classes(), scenario.plans(),
+            scenario.notice(), history::add).play(arrivals);
+        for (Script.Step step : Script.of(scenario, this)) {
+            timeline.run(begun + step.at());
+            step.change().make();
+        }
+        long longest = arrivals.stream().mapToLong(one -> one.at() + one.deadline()).max().orElse(0);
+        timeline.run(begun + longest + END);
+        servers.values().forEach(this::last);
+        return Result.of(scenario, arrivals, history, begun, timeline.now());
+    }
+
+    /** What there is to say of a server's life at its end. */
+    private void last(ServerHost server) {
+        history.add(new Event.Pressed(now(), server.party().name(), server.pressure()));
+        if (server.fellAt() <= now()) {
+            history.add(new Event.Fell(server.fellAt(), server.party().name()));
+        }
+    }
+
+    private List<Server> list() {
+        return servers.values().stream().map(this::entry).toList();
+    }
+
+    private Server entry(ServerHost of) {
+        int zone = topology.zones().indexOf(of.party().zone());
+        return new Server(of.party().name(), CORES, zone, zone, 0, Readiness.READY, of.startedAt());
+    }
+
+    @Override
+    public long now() {
+        return timeline.now();
+    }
+
+    @Override
+    public void seen(Event event) {
+        history.add(event);
+    }
+
+    @Override
+    public void fault(String name, Selector from, Selector to, boolean both, Conditions conditions) {
+        faults.set(name, from, to, conditions);
+        if (both) {
+            faults.set(name + " back", to, from, conditions);
+        }
+    }
+
+    @Override
+    public void clear(String name) {
+        faults.clear(name);
+        faults.clear(name + " back");
+    }
+
+    @Override
+    public void kill(Selector whom, Scenario.Only only) {
+        nodes.forEach((party, node) -> {
+            if (only.nodes() && whom.matches(party)) {
+                history.add(new Event.Lost(now(), party.name(), now() + Script.GRACE));
+                node.kill();
+            }
+        });
+        servers.values().stream().filter(server -> only.servers() && whom.matches(server.party())).forEach(server -> {
+            last(server);
+            server.kill();
+        });
+    }
+
+    @Override
+    public void restart(Selector whom, Scenario.Only only) {
+        for (ServerHost server : servers.values()) {
+            if (only.servers() && whom.matches(server.party())) {
+                server.start();
+                history.add(new Event.Started(now(), server.party().name()));
+                Server entry = entry(server);
+                timeline.after(Script.TOLD, () -> nodes.values().forEach(node -> {
+                    node.told(entry);
+                    history.add(new Event.Learned(now(), node.party().name(), entry.id()));
+                }));
+            }
+        }
+        nodes.forEach((party, node) -> {
+            if (only.nodes() && whom.matches(party)) {
+                servers.values().stream().filter(server -> server.startedAt() > 0)
+                    .forEach(server -> history.add(new Event.Learned(now(), party.name(), server.party().name())));
+                node.start();
+            }
+        });
+    }
+
+    /** As the program reads its configuration: a list of objects has its length under {@code .count}. */
+    private static void flatten(String path, JsonNode node, Map<String, String> into) {
+        if (node.isObject()) {
+            node.properties().forEach(field -> flatten(path.isEmpty() ? field.getKey() : path + "." + field.getKey(), field.getValue(), into));
+        } else if (node.isArray()) {
+            into.put(path + ".count", Integer.toString(node.size()));
+            List<String> plain = new ArrayList<>();
+            for (int i = 0; i < node.size(); i++) {
+                if (node.get(i).isValueNode()) {
+                    plain.add(node.get(i).asText());
+                } else {
+                    flatten(path + "." + i, node.get(i), into);
+                }
+            }
+            into.put(path, String.join(",", plain));
+        } else {
+            into.put(path, node.asText());
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/model/NodeHost.java
@@ -0,0 +1,321 @@
+package thistlefall.lab.model;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
+import thistlefall.Gateway;
+import thistlefall.Ports;
+import thistlefall.Ports.ListKind;
+import thistlefall.Ports.Outcome;
+import thistlefall.Ports.Request;
+import thistlefall.Ports.Result;
+import thistlefall.Ports.Server;
+import thistlefall.Ports.Settings;
+import thistlefall.lab.net.Party;
+import thistlefall.lab.stand.ArchiveServer.Ending;
+
+/** An edge node's machine: the program's module, and around it what the real node does on sockets, without them. */
+final class NodeHost implements Ports.Actions, Peer {
+    /** Whoever waits for an answer. */
+    interface Client {
+        /** The final answer, an HTTP status; called when it is written, at the node. */
+        void answer(int status);
+
+        /** The process died first. */
+        void died();
+    }
+
+    /** What a node is told at each of its starts, and where it reaches whom. */
+    record Surroundings(Timeline timeline, Network network, Settings settings, Supplier<List<Server>> list, Map<String, ServerHost> servers,
+                        CounterHost counter, ToLongFunction<String> work, BiConsumer<Party, String> log) {
+    }
+
+    /** As the real node: the module sees deadlines early, and what it leaves unanswered is failed. */
+    private static final long ANSWER_MARGIN = 12_000_000L, LAST_MOMENT = 6_000_000L;
+    /** From a start on this machine until it listens, has heard discovery, and says yes to the front. */
+    private static final long LISTENS = 700_000_000L, HEARD = 800_000_000L, READY = 1_700_000_000L;
+    /** The settings' connect time-out. */
+    private static final long CONNECT = 250_000_000L;
+    private static final int OK = 200, FAILED = 502, REFUSED = 503;
+
+    private final class Open {
+        final Request request;
+        final Client client;
+        final boolean keyed;
+        Attempt attempt;
+        int attempts;
+        boolean answered;
+
+        Open(Request request, boolean keyed, Client client) {
+            this.request = request;
+            this.keyed = keyed;
+            this.client = client;
+        }
+    }
+
+    private final class Attempt {
+        final Open of;
+        final ServerHost server;
+        final long sentAt = timeline.now();
+        boolean written, over;
+
+        Attempt(Open of, ServerHost server) {
+            this.of = of;
+            this.server = server;
+        }
+    }
+
+    private final Party party;
+    private final Surroundings around;
+    private final Timeline timeline;
+    private final SplittableRandom chance;
+    private final Map<String, Open> open = new LinkedHashMap<>();
+    private final Map<ServerHost, Pool> pools = new LinkedHashMap<>();
+    private Gateway gateway;
+    private int life;
+    private boolean ready;
+
+    NodeHost(Party party, Surroundings around, SplittableRandom chance) {
+        this.party = party;
+        this.around = around;
+        this.chance = chance;
+        timeline = around.timeline;
+    }
+
+    @Override
+    public Party party() {
+        return party;
+    }
+
+    @Override
+    public boolean listens() {
+        return gateway != null;
+    }
+
+    @Override
+    public int life() {
+        return life;
+    }
+
+    /** What its health says. */
+    boolean ready() {
+        return ready;
+    }
+
+    /** Begins its process; it listens a while later. */
+    void start() {
+        List<Server> known = around.list.get();
+        soon(LISTENS, () -> {
+            gateway = new Gateway(around.settings, chance.nextLong(), timeline.now(), this);
+            gateway.list(timeline.now(), ListKind.CACHED, known);
+        });
+        soon(HEARD, () -> gateway.list(timeline.now(), ListKind.FULL, around.list.get()));
+        soon(READY, () -> ready = true);
+    }
+
+    /** Happens unless this life has ended by then. */
+    private void soon(long span, Runnable what) {
+        int of = life;
+        timeline.after(span, () -> {
+            if (of == life) {
+                what.run();
+            }
+        });
+    }
+
+    void kill() {
+        life++;
+        gateway = null;
+        ready = false;
+        pools.clear();
+        List<Open> lost = new ArrayList<>(open.values());
+        open.clear();
+        lost.forEach(one -> {
+            if (!one.answered) {
+                one.client.died();
+            }
+        });
+    }
+
+    /** Discovery tells of a server. */
+    void told(Server entry) {
+        if (gateway != null) {
+            gateway.list(timeline.now(), ListKind.DELTA, List.of(entry));
+        }
+    }
+
+    /** A request has come whole; its client waits for {@code span} more. */
+    void take(Request asked, long span, boolean keyed, Client client) {
+        long deadline = timeline.now() + Math.max(1, span - ANSWER_MARGIN);
+        Request request = new Request(asked.id(), asked.requestClass(), asked.plan(), asked.customer(), deadline, asked.units(),
+            asked.setSize(), asked.setFirst(), asked.repeat());
+        Open of = new Open(request, keyed, client);
+        open.put(request.id(), of);
+        soon(Math.max(0, span - LAST_MOMENT), () -> {
+            if (!of.answered) {
+                answer(of, FAILED);
+                gone(request.id());
+            }
+        });
+        gateway.request(timeline.now(), request);
+    }
+
+    /** The client has left. */
+    void left(String id) {
+        Open of = open.get(id);
+        if (of != null && !of.answered) {
+            of.answered = true;
+            gone(id);
+        }
+    }
+
+    private void gone(String id) {
+        gateway.clientGone(timeline.now(), id);
+        settle(open.get(id));
+    }
+
+    private void answer(Open of, int status) {
+        of.answered = true;
+        of.client.answer(status);
+    }
+
+    private void settle(Open of) {
+        if (of != null && of.answered && of.attempt == null) {
+            open.remove(of.request.id());
+        }
+    }
+
+    @Override
+    public void send(String id, String server, long patience) {
+        Open of = open.get(id);
+        ServerHost to = around.servers.get(server);
+        Attempt attempt = new Attempt(of, to);
+        of.attempt = attempt;
+        of.attempts++;
+        soon(patience, () -> end(attempt, attempt.written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED));
+        Pool pool = pools.computeIfAbsent(to, any -> new Pool(timeline, around.network, party, to, CONNECT));
+        int of1 = life;
+        pool.take(new Pool.User() {
+            @Override
+            public void connected(int serverLife, boolean reused) {
+                if (of1 == life && !attempt.over) {
+                    attempt.written = true;
+                    write(attempt, pool, serverLife);
+                } else {
+                    pool.release(serverLife);
+                }
+            }
+
+            @Override
+            public void refused() {
+                end(attempt, Outcome.CONNECT_FAILED);
+            }
+        });
+    }
+
+    private void write(Attempt attempt, Pool pool, int serverLife) {
+        ServerHost to = attempt.server;
+        String id = attempt.of.request.id();
+        around.network.pass(party, to.party(), () -> {
+            if (to.life() != serverLife) {
+                back(attempt, () -> end(attempt, Outcome.RESET));
+                return;
+            }
+            to.arrive(id, attempt.of.keyed ? id : null, around.work.applyAsLong(id), new ServerHost.Caller() {
+                @Override
+                public void ended(Ending how) {
+                    back(attempt, () -> {
+                        if (!attempt.over) {
+                            pool.release(serverLife);
+                        }
+                        end(attempt, how == Ending.TURNED_AWAY ? Outcome.FULL : Outcome.OK);
+                    });
+                }
+
+                @Override
+                public void died() {
+                    back(attempt, () -> end(attempt, Outcome.RESET));
+                }
+            });
+        });
+    }
+
+    private void back(Attempt attempt, Runnable what) {
+        around.network.pass(attempt.server.party(), party, what);
+    }
+
+    private void end(Attempt attempt, Outcome outcome) {
+        Open of = attempt.of;
+        if (attempt.over || open.get(of.request.id()) != of) {
+            return;
+        }
+        attempt.over = true;
+        of.attempt = null;
+        if (outcome == Outcome.OK && !of.answered) {
+            answer(of, OK);
+        }
+        boolean complete = of.answered;
+        settle(of);
+        gateway.attemptEnded(timeline.now(), new Result(of.request.id(), outcome, timeline.now() - attempt.sentAt,
+            attempt.server.party().name(), complete, of.attempts - 1, 0, List.of()));
+    }
+
+    @Override
+    public void refuse(String id, long retryAfter) {
+        decline(id, REFUSED);
+    }
+
+    @Override
+    public void fail(String id) {
+        decline(id, FAILED);
+    }
+
+    private void decline(String id, int status) {
+        Open of = open.get(id);
+        answer(of, status);
+        settle(of);
+    }
+
+    @Override
+    public void count(long name, double amount, long lifetime) {
+        boolean[] over = new boolean[1];
+        int of = life;
+        CounterHost counter = around.counter;
+        soon(around.settings.counter().timeout(), () -> counted(over, of, name, Outcome.TIMEOUT, 0));
+        around.network.pass(party, counter.party(), () -> counter.call(Long.toString(name), amount, lifetime, total ->
+            around.network.pass(counter.party(), party, () -> counted(over, of, name, total == null ? Outcome.FULL : Outcome.OK,
+                total == null ? 0 : total))));
+    }
+
+    private void counted(boolean[] over, int of, long name, Outcome outcome, double total) {
+        if (!over[0] && of == life) {
+            over[0] = true;
+            gateway.counted(timeline.now(), name, outcome, total);
+        }
+    }
+
+    @Override
+    public void timer(long token, long span) {
+        soon(span, () -> gateway.timer(timeline.now(), token));
+    }
+
+    @Override
+    public void probe(String server) {
+        throw new IllegalStateException("the settings allow no probes");
+    }
+
+    @Override
+    public void watchList() {
+        throw new IllegalStateException("the settings tell changes of the list unasked");
+    }
+
+    @Override
+    public void log(String text) {
+        around.log.accept(party, text);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/scenario/Script.java
@@ -0,0 +1,71 @@
+package thistlefall.lab.scenario;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import thistlefall.lab.fleet.Topology;
+import thistlefall.lab.judge.Event;
+import thistlefall.lab.net.Party;
+import thistlefall.lab.net.Selector;
+
+/** A scenario's faults as steps in the order of their times. */
+public final class Script {
+    /** How late discovery tells what changes, in nanoseconds. */
+    public static final long TOLD = 500_000_000L;
+    /** A connection that came up before the end of a fault may be written to so much later, in nanoseconds. */
+    public static final long GRACE = 100_000_000L;
+    private static final double SECOND = 1e9;
+
+    /** What a step does. */
+    public interface Change {
+        /** Does it. */
+        void make() throws IOException, InterruptedException;
+    }
+
+    /** A step: when, in nanoseconds from the first arrival; what, for people; and what it does. */
+    public record Step(long at, String text, Change change) {
+    }
+
+    private Script() {
+    }
+
+    /** All steps of a scenario on a stage. */
+    public static List<Step> of(Scenario scenario, Stage stage) {
+        Topology topology = scenario.topology().topology();
+        List<Step> steps = new ArrayList<>();
+        for (Scenario.Fault fault : scenario.faults()) {
+            String name = "fault " + steps.size();
+            long at = (long) (fault.atS() * SECOND), until = (long) (fault.untilS() * SECOND);
+            if (fault.kill() != null) {
+                Selector whom = Selector.parse(fault.kill());
+                Scenario.Only only = fault.processes();
+                steps.add(new Step(at, "killed: " + whom + " " + only, () -> stage.kill(whom, only)));
+                steps.add(new Step(until, "started again: " + whom + " " + only, () -> stage.restart(whom, only)));
+            } else {
+                Selector from = Selector.parse(fault.from()), to = Selector.parse(fault.to());
+                boolean both = Boolean.TRUE.equals(fault.both());
+                String what = from + (both ? " <-> " : " -> ") + to + " " + fault.conditions();
+                steps.add(new Step(at, what, () -> {
+                    if (fault.conditions().cut()) {
+                        cutOff(topology, stage, from, to, until - at);
+                    }
+                    stage.fault(name, from, to, both, fault.conditions());
+                }));
+                steps.add(new Step(until, "no more: " + from + " -> " + to, () -> stage.clear(name)));
+            }
+        }
+        steps.sort(Comparator.comparingLong(Step::at));
+        return steps;
+    }
+
+    /** Nodes that the front does not reach, or does not hear, while a fault is on. */
+    private static void cutOff(Topology topology, Stage stage, Selector from, Selector to, long span) {
+        for (Party node : topology.nodes()) {
+            boolean there = from.matches(topology.front()) && to.matches(node), back = from.matches(node) && to.matches(topology.front());
+            if (there || back) {
+                stage.seen(new Event.Lost(stage.now(), node.name(), stage.now() + span + GRACE));
+            }
+        }
+    }
+}
--- a/lab/src/main/java/thistlefall/lab/stand/http/ArchiveServerPort.java
+++ b/lab/src/main/java/thistlefall/lab/stand/http/ArchiveServerPort.java
@@ -47,11 +47,18 @@
         carry(core::drain);
     }
 
-    /** Whether it was pushed over. */
-    public boolean down() {
-        boolean[] down = new boolean[1];
-        carry(() -> down[0] = core.down());
-        return down[0];
+    /** When it was pushed over, in nanoseconds of the JVM's clock; {@link Long#MAX_VALUE} if it was not. */
+    public long fellAt() {
+        long[] at = new long[1];
+        carry(() -> at[0] = core.fellAt());
+        return at[0];
+    }
+
+    /** The most of what it may be sent while cold that it was sent, as a share. */
+    public double pressure() {
+        double[] pressure = new double[1];
+        carry(() -> pressure[0] = core.pressure());
+        return pressure[0];
     }
 
     @Override
