Module: begin to warm a fleet in which no server is warm

Cause: coldRoom gave a cold server a part of what this gateway had sent to warm ones (sentWork / warm). After a power loss of everything a gateway has sent nothing and none is warm, so the part is 0 and stays 0 until servers count as warm by age, 17 s. Where servers alone start anew the same line overstates: the work of all of them is taken for that of one warm server. Excluded by the model: discovery, counter, front (the same with all of them at hand), the limit on concurrency (never reached: pressure 0).

Change: the work sent is kept for each able server, as it was when it was sent; a cold one has its warmth of that. Where few are warm it may grow by the factor 4 in 4 s from one core's part on, and the limit on concurrency, OPEN_PER_SERVER x what the servers are able to, divided over the fleet, bounds the sum.

--- a/edge/src/main/java/thistlefall/Gateway.java
+++ b/edge/src/main/java/thistlefall/Gateway.java
@@ -31,6 +31,8 @@
     private static final double Q_SHARE = 0.3, Q_LEVEL = 0.7, MIN_SHARE = 0.02, MIN_LEVEL = 0.25;
     /** Weight of an answer in a server's averages; memory, in seconds, of these and of the others' use. */
     private static final double ALPHA = 0.12, ALPHA_ERR = 0.2, FORGIVE_S = 4, OTHERS_S = 3;
+    /** How many times what cold servers took in the last seconds they may take where none is warm. */
+    private static final double GROWTH = 4;
     /** A server of which this part fails counts as avoided. */
     private static final double SHUN = 0.5;
     /** How many servers each of as many gateways as servers looks at for a request; two are the least. */
@@ -59,7 +61,7 @@
     private final Lane[] lanes;
     private final Control control;
     private int inFlight, heardCount, heardCalls, lostCalls;
-    private double retryTokens = RETRY_MOST, virtualTime, sentWork, usualStake, usualLoad;
+    private double retryTokens = RETRY_MOST, virtualTime, sentWork, sentToOne, usualStake, usualLoad;
     private boolean silent, denied, succeeded;
     private double callRate = CALLS_START, callTokens;
     /** Customers with something to push. */
@@ -768,7 +770,7 @@
         private final int n = lanes.length;
         private final Rls shareModel = new Rls(2 * n, 3 * n), levelModel = new Rls(1, 2);
         private double[] lastY;
-        private double lastInverse, lastLevel, lastChange, scale = 1, level = 1, limit = 1;
+        private double lastInverse, lastLevel, lastChange, scale = 1, level = 1, limit = 1, able = 1, warm;
         private boolean bound;
 
         /** Until fitted, shares follow worth. */
@@ -787,12 +789,21 @@
         void boundLevel() {
             double before = limit;
             // What a cold server cannot do yet waits here, where worth decides, not in its line.
-            double able = listed.stream().mapToDouble(b -> b.cold() ? b.warmth() : 1).sum();
+            able = Math.max(MIN_LEVEL, listed.stream().mapToDouble(b -> b.cold() ? b.warmth() : 1).sum());
+            warm = listed.stream().filter(b -> !b.cold()).count();
             double part = Math.max(MIN_LEVEL, OPEN_PER_SERVER * able / cfg.siblings());
             limit = part > 1 ? Math.rint(part) : part;
             level = levelModel.updates == 0 || level >= before ? limit : Math.min(level, limit);
         }
 
+        /**
+         * What a warm server would be sent from here, in seconds of work a second. Where few are warm, the
+         * cold ones tell it: more than they take, from one core on, till the limit on concurrency binds.
+         */
+        double warmWork() {
+            return Math.max(1.0 / cfg.siblings(), sentToOne * able / Math.max(warm, able / GROWTH));
+        }
+
         void interval() {
             double total = Arrays.stream(lanes).mapToInt(lane -> lane.good).sum();
             scale += 0.2 * (Math.max(1, total) - scale);
@@ -1014,14 +1025,15 @@
 
     /** By chance: a cold server's part of a warm one's work, from however many gateways, and no burst. */
     private boolean coldRoom(Backend b, Job job) {
-        double warm = Math.max(1, listed.stream().filter(other -> !other.cold()).count());
-        double work = sentWork / warm * b.warmth() * (now - b.coldAt) * NANO;
+        double work = control.warmWork() * b.warmth() * (now - b.coldAt) * NANO;
         b.coldAt = now;
         return random.nextDouble() * job.cost() < work;
     }
 
     private void send(Job job, Backend backend) {
-        sentWork = sentWork * Math.exp(-(now - sentWorkAt) * NANO / 4) + job.cost() / 4;
+        double kept = Math.exp(-(now - sentWorkAt) * NANO / 4);
+        sentWork = sentWork * kept + job.cost() / 4;
+        sentToOne = sentToOne * kept + job.cost() / 4 / control.able;
         sentWorkAt = now;
         if (job.attempts == 0) { retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_RATIO); }
         job.customer.open += job.open ? 0 : 1;
--- a/edge/src/test/java/thistlefall/RulesTest.java
+++ b/edge/src/test/java/thistlefall/RulesTest.java
@@ -10,6 +10,7 @@
 import static thistlefall.Host.SAFE;
 import static thistlefall.Host.UNSAFE;
 
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -183,6 +184,26 @@
         assertTrue(sends.get("z") < 0.6 * warm, "cold " + sends.get("z") + " against warm " + warm);
     }
 
+    /** After a power loss nothing is warm, and this gateway has sent nothing: it begins by its part of a core of each. */
+    @Test
+    void whereNoServerIsWarmTheColdOnesTakeTheFirstRequests() {
+        Host host = new Host(Host.FREE, 4, 0, false);
+        for (int i = 0; i < 8; i++) {
+            host.server("c" + i, 0, Readiness.READY, host.now);
+        }
+        int[] sends = new int[3];
+        for (int i = 0; i < 300; i++) {
+            int before = host.sent.size();
+            host.request(SAFE, 1);
+            host.pass(10 * MS);
+            List.copyOf(host.sent.subList(before, host.sent.size())).forEach(sent -> host.end(sent.id(), Outcome.OK));
+            sends[i / 100] += host.sent.size() - before;
+        }
+        // A quarter of 8 cores by four gateways, at the 0.125 s that a request is taken to need at first: 4 a second.
+        assertTrue(sends[0] >= 1 && sends[0] <= 20, "in the first second " + sends[0]);
+        assertTrue(sends[2] > 2 * sends[0], "it does not grow: " + Arrays.toString(sends));
+    }
+
     /** A request that is given up is refused at once, and its client told when to come back. */
     @Test
     void whoIsGivenUpIsToldWhenToComeBack() {
