--- a/lab/src/main/java/thistlefall/lab/cli/Summary.java
+++ b/lab/src/main/java/thistlefall/lab/cli/Summary.java
@@ -15,6 +15,7 @@
 
     static {
         FIGURES.put("goodput", Result::goodput);
+        FIGURES.put("possible", Result::possible);
         FIGURES.put("served", Result::served);
         FIGURES.put("refused", Result::refused);
         FIGURES.put("failed", Result::failed);
@@ -23,6 +24,9 @@
         FIGURES.put("s to 0.5", one -> one.recovery() == null ? Double.NaN : seconds(one.recovery().toHalf()));
         FIGURES.put("s to 0.9", one -> one.recovery() == null ? Double.NaN : seconds(one.recovery().toNineTenths()));
         FIGURES.put("s to 0.99", one -> one.recovery() == null ? Double.NaN : seconds(one.recovery().toAll()));
+        FIGURES.put("s to 0.9, possible", one -> one.recovery() == null ? Double.NaN : seconds(one.recovery().possible()));
+        FIGURES.put("of possible, faults on", one -> one.recovery() == null ? Double.NaN : one.recovery().whileOf());
+        FIGURES.put("of possible, after", one -> one.recovery() == null ? Double.NaN : one.recovery().afterOf());
         FIGURES.put("cold pressure", Result::pressure);
         FIGURES.put("servers fallen", Result::fell);
         FIGURES.put("rules broken", one -> one.findings().size());
--- a/lab/src/main/java/thistlefall/lab/fleet/Fleet.java
+++ b/lab/src/main/java/thistlefall/lab/fleet/Fleet.java
@@ -14,12 +14,14 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
 import thistlefall.lab.net.Conditions;
 import thistlefall.lab.net.Faults;
@@ -30,6 +32,7 @@
 import thistlefall.lab.process.Guard;
 import thistlefall.lab.process.NodeProcess;
 import thistlefall.lab.process.NodeProcess.Signal;
+import thistlefall.lab.stand.ArchiveServer;
 import thistlefall.lab.stand.CounterTerms;
 import thistlefall.lab.stand.Member;
 import thistlefall.lab.stand.Member.Phase;
@@ -48,6 +51,14 @@
     public interface History {
         /** What one server tells. */
         ArchiveServerPort.History of(Party server);
+
+        /** A node is told this of the servers, by discovery or by its configuration at its start. */
+        default void told(long at, Party node, Roll roll) {
+        }
+
+        /** A node's process ended with a status; {@code asked} is whether it was killed or told to end. */
+        default void ended(long at, Party node, int status, boolean asked) {
+        }
     }
 
     /** What the stand-ins are made of. */
@@ -60,6 +71,7 @@
     /** A node that does not listen by then never will. */
     private static final long START_S = 60;
     private static final int HEALTH_MS = 2_000;
+    private static final long CROSSING_MS = 50;
 
     /** Both ends of a link, and the link. */
     private record Way(Party from, Party to, TcpLink link) {
@@ -78,9 +90,12 @@
     private final CounterPort counter;
     private final Map<Party, ArchiveServerPort> servers = new LinkedHashMap<>();
     private final Map<Party, Long> startedMs = new HashMap<>();
+    private final Map<Party, Phase> phases = new HashMap<>();
     private final Map<Party, Map<Party, InetSocketAddress>> reached = new HashMap<>();
     private final Map<Party, DiscoveryPort> agents = new HashMap<>();
     private final Map<Party, NodeProcess> processes = new HashMap<>();
+    /** Nodes whose processes are to end. */
+    private final Set<Party> ending = ConcurrentHashMap.newKeySet();
     private final Map<Party, InetSocketAddress> doors = new HashMap<>();
     private final Map<Party, List<String>> logs = new ConcurrentHashMap<>();
     private long revision = 1;
@@ -96,6 +111,7 @@
         counter = new CounterPort(loops.next(), ANY, terms.counter());
         for (Party server : topology.servers()) {
             startedMs.put(server, 0L);
+            phases.put(server, Phase.READY);
             servers.put(server, new ArchiveServerPort(loops.next(), ANY, terms.servers(),
                 System.nanoTime() - terms.servers().ramp(), terms.work(), history.of(server)));
         }
@@ -105,7 +121,8 @@
                 to.put(server, link(node, server, servers.get(server).address()));
             }
             reached.put(node, to);
-            agents.put(node, new DiscoveryPort(loops.next(), ANY, list(node)));
+            agents.put(node, new DiscoveryPort(loops.next(), ANY, list(node),
+                (at, roll) -> history.told(at, node, roll)));
         }
     }
 
@@ -117,12 +134,12 @@
     }
 
     private Roll list(Party node) {
-        return new Roll(revision, true, topology.servers().stream().map(server -> member(node, server, Phase.READY)).toList());
+        return new Roll(revision, true, topology.servers().stream().map(server -> member(node, server)).toList());
     }
 
-    private Member member(Party node, Party server, Phase phase) {
+    private Member member(Party node, Party server) {
         return new Member(server.name(), NodeConfig.text(reached.get(node).get(server)), server.zone(), "std-4core",
-            topology.zones().indexOf(server.zone()), phase, 1, startedMs.get(server));
+            topology.zones().indexOf(server.zone()), phases.get(server), 1, startedMs.get(server));
     }
 
     /** Starts these nodes' processes at once, again too, and returns when all listen. */
@@ -138,20 +155,29 @@
 
     private BlockingQueue<String> launch(Party node) throws IOException {
         Path own = Files.createDirectories(folder.resolve(node.name()));
+        Roll known = list(node);
+        history.told(System.nanoTime(), node, known);
         Path config = own.resolve("config.json");
         Way toCounter = way(node, topology.counter());
         InetSocketAddress counterAt = toCounter == null ? link(node, topology.counter(), counter.address()) : toCounter.link.address();
         Files.writeString(config, NodeConfig.text(topology, terms.load(), node, doors.getOrDefault(node, ANY),
-            agents.get(node).address(), counterAt, list(node), chance.nextLong()));
+            agents.get(node).address(), counterAt, known, chance.nextLong()));
+        NodeProcess before = processes.get(node);
+        if (before != null) {
+            before.ended().join();
+        }
+        ending.remove(node);
         BlockingQueue<String> serving = new LinkedBlockingQueue<>();
         List<String> log = logs.computeIfAbsent(node, any -> new CopyOnWriteArrayList<>());
-        processes.put(node, NodeProcess.start(deploy, Files.createDirectories(own.resolve("tmp")),
+        NodeProcess process = NodeProcess.start(deploy, Files.createDirectories(own.resolve("tmp")),
             Map.of("GW_CONFIG", config.toAbsolutePath().toString(), "GW_NAME", node.name()), guard, line -> {
                 log.add(line.text());
                 if (line.text().startsWith(SERVING)) {
                     serving.add(line.text());
                 }
-            }));
+            });
+        processes.put(node, process);
+        process.ended().thenAccept(status -> history.ended(System.nanoTime(), node, status, ending.contains(node)));
         return serving;
     }
 
@@ -197,6 +223,9 @@
 
     /** Sends a signal to a node's process; after a kill it is gone for whoever connects. */
     public void signal(Party node, Signal what) throws IOException {
+        if (what == Signal.KILL || what == Signal.TERM) {
+            ending.add(node);
+        }
         processes.get(node).signal(what);
         if (what == Signal.KILL) {
             processes.get(node).ended().join();
@@ -204,6 +233,14 @@
         }
     }
 
+    /** Tells a node's process to end; whoever connects from now on is refused. */
+    public void term(Party node) throws IOException, InterruptedException {
+        up(node, false);
+        // A connection that a link has taken already still finds its node.
+        TimeUnit.MILLISECONDS.sleep(CROSSING_MS);
+        signal(node, Signal.TERM);
+    }
+
     /** Its process, for its end and its number. */
     public NodeProcess process(Party node) {
         return processes.get(node);
@@ -220,13 +257,35 @@
         up(server, false);
     }
 
+    /** Carries out a fault on an archive server's core. */
+    public void on(Party server, Consumer<ArchiveServer<?>> what) {
+        servers.get(server).on(what);
+    }
+
+    /** Discovery tells that it drains, after {@code delay} nanoseconds. */
+    public void drain(Party server, long delay) {
+        phases.put(server, Phase.TERMINATING);
+        tell(server, delay);
+    }
+
+    /** Whether discovery says nothing to a node. */
+    public void silent(Party node, boolean down) {
+        agents.get(node).silent(down);
+    }
+
+    /** The counter, for its faults. */
+    public CounterPort counter() {
+        return counter;
+    }
+
     /** It starts again at its address, cold, and discovery lists it after {@code delay} nanoseconds. */
     public void restart(Party server, long delay) throws IOException {
         servers.put(server, new ArchiveServerPort(loops.next(), servers.get(server).address(), terms.servers(),
             System.nanoTime(), terms.work(), history.of(server)));
         startedMs.put(server, System.currentTimeMillis());
         up(server, true);
-        tell(server, Phase.READY, delay);
+        phases.put(server, Phase.READY);
+        tell(server, delay);
     }
 
     /** When an archive server was pushed over, in nanoseconds of the JVM's clock; {@link Long#MAX_VALUE} if it was not. */
@@ -239,9 +298,9 @@
         return servers.get(server).pressure();
     }
 
-    private void tell(Party server, Phase phase, long delay) {
+    private void tell(Party server, long delay) {
         revision++;
-        agents.forEach((node, agent) -> agent.send(new Roll(revision, false, List.of(member(node, server, phase))), delay));
+        agents.forEach((node, agent) -> agent.send(new Roll(revision, false, List.of(member(node, server))), delay));
     }
 
     /** From now on the way between these is so, in the one direction or in both. */
@@ -276,6 +335,7 @@
 
     @Override
     public void close() throws IOException {
+        ending.addAll(processes.keySet());
         guard.close();
         for (Way way : ways) {
             way.link.close();
--- a/lab/src/main/java/thistlefall/lab/fleet/Topology.java
+++ b/lab/src/main/java/thistlefall/lab/fleet/Topology.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import thistlefall.lab.net.Party;
+import thistlefall.lab.net.Party.Role;
 
 /**
  * Who there is and where.
@@ -18,14 +19,14 @@
                        Party discovery) {
     /** So many nodes and servers spread evenly over zones of one region; the counter stands in the first zone. */
     public static Topology even(List<String> zones, int nodes, int servers) {
-        return new Topology(zones, spread("n", nodes, zones), spread("s", servers, zones), new Party("front", "outside", "outside"),
-            new Party("counter", zones.get(0), "region"), new Party("discovery", "outside", "outside"));
+        return new Topology(zones, spread("n", nodes, zones, Role.NODE), spread("s", servers, zones, Role.SERVER), new Party("front", "outside", "outside", Role.OTHER),
+            new Party("counter", zones.get(0), "region", Role.OTHER), new Party("discovery", "outside", "outside", Role.OTHER));
     }
 
-    private static List<Party> spread(String prefix, int count, List<String> zones) {
+    private static List<Party> spread(String prefix, int count, List<String> zones, Role role) {
         List<Party> all = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            all.add(new Party(prefix + i, zones.get(i % zones.size()), "region"));
+            all.add(new Party(prefix + i, zones.get(i % zones.size()), "region", role));
         }
         return all;
     }
--- a/lab/src/main/java/thistlefall/lab/judge/Event.java
+++ b/lab/src/main/java/thistlefall/lab/judge/Event.java
@@ -37,6 +37,10 @@
     record Started(long at, String server) implements Event {
     }
 
+    /** A server's process died. */
+    record Died(long at, String server) implements Event {
+    }
+
     /** The most of what a server may be sent while cold that it was sent, as a share; told at the end of its life or of the play. */
     record Pressed(long at, String server, double share) implements Event {
     }
--- a/lab/src/main/java/thistlefall/lab/judge/Judge.java
+++ b/lab/src/main/java/thistlefall/lab/judge/Judge.java
@@ -113,6 +113,7 @@
             pushes.remove(started.server());
         } else if (event instanceof Learned one) {
             learned.computeIfAbsent(one.server(), any -> new HashSet<>()).add(one.node());
+            told.computeIfAbsent(one.server(), any -> new HashMap<>()).remove(one.node());
         } else if (event instanceof Fell fell) {
             fell(fell);
         } else if (event instanceof Lost lost) {
--- a/lab/src/main/java/thistlefall/lab/model/CounterHost.java
+++ b/lab/src/main/java/thistlefall/lab/model/CounterHost.java
@@ -29,6 +29,12 @@
         look();
     }
 
+    /** Something happens to its core. */
+    void on(Consumer<Counter<?>> what) {
+        what.accept(core);
+        look();
+    }
+
     private void look() {
         for (Answer<Consumer<Double>> one = core.poll(timeline.now()); one != null; one = core.poll(timeline.now())) {
             one.call().accept(one.total());
--- a/lab/src/main/java/thistlefall/lab/model/Model.java
+++ b/lab/src/main/java/thistlefall/lab/model/Model.java
@@ -20,9 +20,12 @@
 import thistlefall.lab.net.Faults;
 import thistlefall.lab.net.Party;
 import thistlefall.lab.net.Selector;
+import thistlefall.lab.scenario.CounterFaults;
 import thistlefall.lab.scenario.Result;
 import thistlefall.lab.scenario.Scenario;
+import thistlefall.lab.scenario.Scenario.Trouble;
 import thistlefall.lab.scenario.Script;
+import thistlefall.lab.scenario.ServerFaults;
 import thistlefall.lab.scenario.Stage;
 
 /**
@@ -45,7 +48,8 @@
     private final Network network;
     private final List<Event> history = new ArrayList<>();
     private final Map<String, ServerHost> servers = new LinkedHashMap<>();
-    private final Map<Party, NodeHost> nodes = new LinkedHashMap<>();
+    private final List<NodeHost> nodes = new ArrayList<>();
+    private final CounterHost counter;
 
     private Model(Scenario scenario, Consumer<String> log) throws IOException {
         this.scenario = scenario;
@@ -55,14 +59,14 @@
         for (Party server : topology.servers()) {
             servers.put(server.name(), new ServerHost(timeline, server, scenario.servers().terms(), history::add));
         }
-        CounterHost counter = new CounterHost(timeline, topology.counter(), scenario.counter().terms());
+        counter = new CounterHost(timeline, topology.counter(), scenario.counter().terms());
         Map<String, Long> works = new HashMap<>();
         scenario.arrivals().forEach(one -> works.put(one.id(), one.work()));
         for (Party node : topology.nodes()) {
             Map<String, String> pairs = new HashMap<>();
             flatten("", NodeConfig.settings(topology, scenario.told(), node), pairs);
-            nodes.put(node, new NodeHost(node, new NodeHost.Surroundings(timeline, network, SettingsReader.read(pairs), this::list, servers,
-                counter, works::get, (who, text) -> log.accept(String.format("%.3f s %s: %s", (timeline.now() - START - SETTLE) / 1e9,
+            nodes.add(new NodeHost(node, new NodeHost.Surroundings(timeline, network, SettingsReader.read(pairs), this::list, servers,
+                counter, works::get, this::told, (who, text) -> log.accept(String.format("%.3f s %s: %s", (timeline.now() - START - SETTLE) / 1e9,
                     who.name(), text))), chance.split()));
         }
     }
@@ -73,11 +77,11 @@
     }
 
     private Result play() throws IOException, InterruptedException {
-        nodes.values().forEach(NodeHost::start);
+        nodes.forEach(NodeHost::start);
         timeline.run(START + SETTLE);
         List<Arrival> arrivals = scenario.arrivals();
         long begun = timeline.now();
-        new ClientsHost(timeline, network, topology.front(), List.copyOf(nodes.values()), scenario.classes(), scenario.plans(),
+        new ClientsHost(timeline, network, topology.front(), nodes, scenario.classes(), scenario.plans(),
             scenario.notice(), history::add).play(arrivals);
         for (Script.Step step : Script.of(scenario, this)) {
             timeline.run(begun + step.at());
@@ -89,6 +93,12 @@
         return Result.of(scenario, arrivals, history, begun, timeline.now());
     }
 
+    private void die(ServerHost server) {
+        last(server);
+        history.add(new Event.Died(now(), server.party().name()));
+        server.kill();
+    }
+
     /** What there is to say of a server's life at its end. */
     private void last(ServerHost server) {
         history.add(new Event.Pressed(now(), server.party().name(), server.pressure()));
@@ -103,7 +113,8 @@
 
     private Server entry(ServerHost of) {
         int zone = topology.zones().indexOf(of.party().zone());
-        return new Server(of.party().name(), CORES, zone, zone, 0, Readiness.READY, of.startedAt());
+        return new Server(of.party().name(), CORES, zone, zone, 0, of.draining() ? Readiness.DRAINING : Readiness.READY,
+            of.startedAt());
     }
 
     @Override
@@ -131,39 +142,90 @@
     }
 
     @Override
-    public void kill(Selector whom, Scenario.Only only) {
-        nodes.forEach((party, node) -> {
-            if (only.nodes() && whom.matches(party)) {
-                history.add(new Event.Lost(now(), party.name(), now() + Script.GRACE));
-                node.kill();
+    public void begin(Scenario.Trouble what, Selector whom, long span) {
+        for (NodeHost node : nodes(whom)) {
+            switch (what) {
+                case KILL -> {
+                    lost(node, 0);
+                    node.kill();
+                }
+                case STOP -> {
+                    lost(node, span);
+                    node.pause();
+                }
+                case TERM -> node.term();
+                case SILENT -> node.silence(true);
+                case DRAIN, SLOW, FAILING -> { }
             }
-        });
-        servers.values().stream().filter(server -> only.servers() && whom.matches(server.party())).forEach(server -> {
-            last(server);
-            server.kill();
-        });
+        }
+        for (ServerHost server : servers(whom)) {
+            SplittableRandom own = chance.split();
+            server.on(core -> ServerFaults.begin(what, core, now(), own));
+            if (what == Trouble.KILL) {
+                die(server);
+            } else if (what == Trouble.DRAIN) {
+                server.drain();
+                tell(server);
+            }
+        }
     }
 
     @Override
-    public void restart(Selector whom, Scenario.Only only) {
-        for (ServerHost server : servers.values()) {
-            if (only.servers() && whom.matches(server.party())) {
+    public void end(Scenario.Trouble what, Selector whom) {
+        for (ServerHost server : servers(whom)) {
+            server.on(core -> ServerFaults.end(what, core, now()));
+            if (what == Trouble.DRAIN) {
+                die(server);
+            }
+            if (what == Trouble.DRAIN || what == Trouble.KILL) {
                 server.start();
                 history.add(new Event.Started(now(), server.party().name()));
-                Server entry = entry(server);
-                timeline.after(Script.TOLD, () -> nodes.values().forEach(node -> {
-                    node.told(entry);
-                    history.add(new Event.Learned(now(), node.party().name(), entry.id()));
-                }));
+                tell(server);
             }
         }
-        nodes.forEach((party, node) -> {
-            if (only.nodes() && whom.matches(party)) {
-                servers.values().stream().filter(server -> server.startedAt() > 0)
-                    .forEach(server -> history.add(new Event.Learned(now(), party.name(), server.party().name())));
-                node.start();
+        for (NodeHost node : nodes(whom)) {
+            switch (what) {
+                case KILL, TERM -> node.start();
+                case STOP -> node.resume();
+                case SILENT -> node.silence(false);
+                case DRAIN, SLOW, FAILING -> { }
             }
-        });
+        }
+    }
+
+    private void lost(NodeHost node, long span) {
+        history.add(new Event.Lost(now(), node.party().name(), now() + span + Script.GRACE));
+    }
+
+    private void tell(ServerHost server) {
+        Server entry = entry(server);
+        timeline.after(Script.TOLD, () -> nodes.forEach(node -> node.told(entry)));
+    }
+
+    private void told(Party node, Server entry) {
+        if (entry.readiness() != Readiness.READY) {
+            history.add(new Event.Told(now(), node.name(), entry.id()));
+        } else if (entry.startedAt() > 0) {
+            history.add(new Event.Learned(now(), node.name(), entry.id()));
+        }
+    }
+
+    private List<NodeHost> nodes(Selector whom) {
+        return nodes.stream().filter(node -> whom.matches(node.party())).toList();
+    }
+
+    private List<ServerHost> servers(Selector whom) {
+        return servers.values().stream().filter(server -> whom.matches(server.party())).toList();
+    }
+
+    @Override
+    public void begin(Scenario.CounterTrouble what) {
+        counter.on(core -> CounterFaults.begin(what, core, now()));
+    }
+
+    @Override
+    public void end(Scenario.CounterTrouble what) {
+        counter.on(core -> CounterFaults.end(what, core, now()));
     }
 
     /** As the program reads its configuration: a list of objects has its length under {@code .count}. */
--- a/lab/src/main/java/thistlefall/lab/model/NodeHost.java
+++ b/lab/src/main/java/thistlefall/lab/model/NodeHost.java
@@ -32,13 +32,15 @@
 
     /** What a node is told at each of its starts, and where it reaches whom. */
     record Surroundings(Timeline timeline, Network network, Settings settings, Supplier<List<Server>> list, Map<String, ServerHost> servers,
-                        CounterHost counter, ToLongFunction<String> work, BiConsumer<Party, String> log) {
+                        CounterHost counter, ToLongFunction<String> work, BiConsumer<Party, Server> told, BiConsumer<Party, String> log) {
     }
 
     /** As the real node: the module sees deadlines early, and what it leaves unanswered is failed. */
     private static final long ANSWER_MARGIN = 12_000_000L, LAST_MOMENT = 6_000_000L;
     /** From a start on this machine until it listens, has heard discovery, and says yes to the front. */
     private static final long LISTENS = 700_000_000L, HEARD = 800_000_000L, READY = 1_700_000_000L;
+    /** How often it is looked whether the process before has ended. */
+    private static final long LOOK = 20_000_000L;
     /** The settings' connect time-out. */
     private static final long CONNECT = 250_000_000L;
     private static final int OK = 200, FAILED = 502, REFUSED = 503;
@@ -78,7 +80,10 @@
     private final Map<ServerHost, Pool> pools = new LinkedHashMap<>();
     private Gateway gateway;
     private int life;
-    private boolean ready;
+    private boolean ready, ending, paused, deaf;
+    /** What happened while the process stood still, and what discovery has not said. */
+    private final List<Runnable> backlog = new ArrayList<>();
+    private final Map<String, Server> unsaid = new LinkedHashMap<>();
 
     NodeHost(Party party, Surroundings around, SplittableRandom chance) {
         this.party = party;
@@ -94,7 +99,7 @@
 
     @Override
     public boolean listens() {
-        return gateway != null;
+        return gateway != null && !ending;
     }
 
     @Override
@@ -104,17 +109,26 @@
 
     /** What its health says. */
     boolean ready() {
-        return ready;
+        return ready && !paused && !ending;
     }
 
-    /** Begins its process; it listens a while later. */
+    /** Begins its process, after the end of the one before; it listens a while later. */
     void start() {
+        if (ending) {
+            timeline.after(LOOK, this::start);
+            return;
+        }
         List<Server> known = around.list.get();
+        known.forEach(entry -> around.told.accept(party, entry));
         soon(LISTENS, () -> {
             gateway = new Gateway(around.settings, chance.nextLong(), timeline.now(), this);
             gateway.list(timeline.now(), ListKind.CACHED, known);
         });
-        soon(HEARD, () -> gateway.list(timeline.now(), ListKind.FULL, around.list.get()));
+        soon(HEARD, () -> {
+            if (!deaf) {
+                gateway.list(timeline.now(), ListKind.FULL, around.list.get());
+            }
+        });
         soon(READY, () -> ready = true);
     }
 
@@ -123,15 +137,59 @@
         int of = life;
         timeline.after(span, () -> {
             if (of == life) {
-                what.run();
+                enter(what);
             }
         });
     }
 
+    /** All that reaches the process, which may stand still. */
+    private void enter(Runnable what) {
+        if (paused) {
+            backlog.add(what);
+        } else {
+            what.run();
+        }
+    }
+
+    /** Stands still until {@link #resume}. */
+    void pause() {
+        paused = true;
+    }
+
+    void resume() {
+        paused = false;
+        List<Runnable> missed = List.copyOf(backlog);
+        backlog.clear();
+        missed.forEach(Runnable::run);
+    }
+
+    /** Takes no new connections, answers what it has and ends. */
+    void term() {
+        ending = true;
+        endIfDone();
+    }
+
+    private void endIfDone() {
+        if (ending && open.isEmpty()) {
+            kill();
+        }
+    }
+
+    /** Whether discovery says nothing here; what it has not said it says at the end of that. */
+    void silence(boolean begins) {
+        deaf = begins;
+        if (!begins) {
+            List<Server> late = List.copyOf(unsaid.values());
+            unsaid.clear();
+            late.forEach(this::told);
+        }
+    }
+
     void kill() {
         life++;
         gateway = null;
-        ready = false;
+        ready = ending = paused = false;
+        backlog.clear();
         pools.clear();
         List<Open> lost = new ArrayList<>(open.values());
         open.clear();
@@ -144,13 +202,26 @@
 
     /** Discovery tells of a server. */
     void told(Server entry) {
+        if (deaf) {
+            unsaid.put(entry.id(), entry);
+        } else {
+            enter(() -> hear(entry));
+        }
+    }
+
+    private void hear(Server entry) {
         if (gateway != null) {
+            around.told.accept(party, entry);
             gateway.list(timeline.now(), ListKind.DELTA, List.of(entry));
         }
     }
 
     /** A request has come whole; its client waits for {@code span} more. */
     void take(Request asked, long span, boolean keyed, Client client) {
+        enter(() -> request(asked, span, keyed, client));
+    }
+
+    private void request(Request asked, long span, boolean keyed, Client client) {
         long deadline = timeline.now() + Math.max(1, span - ANSWER_MARGIN);
         Request request = new Request(asked.id(), asked.requestClass(), asked.plan(), asked.customer(), deadline, asked.units(),
             asked.setSize(), asked.setFirst(), asked.repeat());
@@ -167,7 +238,10 @@
 
     /** The client has left. */
     void left(String id) {
-        Open of = open.get(id);
+        enter(() -> gone(id, open.get(id)));
+    }
+
+    private void gone(String id, Open of) {
         if (of != null && !of.answered) {
             of.answered = true;
             gone(id);
@@ -187,6 +261,7 @@
     private void settle(Open of) {
         if (of != null && of.answered && of.attempt == null) {
             open.remove(of.request.id());
+            endIfDone();
         }
     }
 
@@ -199,21 +274,23 @@
         of.attempts++;
         soon(patience, () -> end(attempt, attempt.written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED));
         Pool pool = pools.computeIfAbsent(to, any -> new Pool(timeline, around.network, party, to, CONNECT));
-        int of1 = life;
+        int born = life;
         pool.take(new Pool.User() {
             @Override
             public void connected(int serverLife, boolean reused) {
-                if (of1 == life && !attempt.over) {
-                    attempt.written = true;
-                    write(attempt, pool, serverLife);
-                } else {
-                    pool.release(serverLife);
-                }
+                enter(() -> {
+                    if (born == life && !attempt.over) {
+                        attempt.written = true;
+                        write(attempt, pool, serverLife);
+                    } else {
+                        pool.release(serverLife);
+                    }
+                });
             }
 
             @Override
             public void refused() {
-                end(attempt, Outcome.CONNECT_FAILED);
+                enter(() -> end(attempt, Outcome.CONNECT_FAILED));
             }
         });
     }
@@ -233,7 +310,11 @@
                         if (!attempt.over) {
                             pool.release(serverLife);
                         }
-                        end(attempt, how == Ending.TURNED_AWAY ? Outcome.FULL : Outcome.OK);
+                        end(attempt, switch (how) {
+                            case SERVED, REPEATED -> Outcome.OK;
+                            case FAILED -> Outcome.ERROR;
+                            case TURNED_AWAY -> Outcome.FULL;
+                        });
                     });
                 }
 
@@ -246,7 +327,7 @@
     }
 
     private void back(Attempt attempt, Runnable what) {
-        around.network.pass(attempt.server.party(), party, what);
+        around.network.pass(attempt.server.party(), party, () -> enter(what));
     }
 
     private void end(Attempt attempt, Outcome outcome) {
@@ -259,10 +340,9 @@
         if (outcome == Outcome.OK && !of.answered) {
             answer(of, OK);
         }
-        boolean complete = of.answered;
-        settle(of);
         gateway.attemptEnded(timeline.now(), new Result(of.request.id(), outcome, timeline.now() - attempt.sentAt,
-            attempt.server.party().name(), complete, of.attempts - 1, 0, List.of()));
+            attempt.server.party().name(), of.answered, of.attempts - 1, 0, List.of()));
+        settle(of);
     }
 
     @Override
@@ -288,8 +368,8 @@
         CounterHost counter = around.counter;
         soon(around.settings.counter().timeout(), () -> counted(over, of, name, Outcome.TIMEOUT, 0));
         around.network.pass(party, counter.party(), () -> counter.call(Long.toString(name), amount, lifetime, total ->
-            around.network.pass(counter.party(), party, () -> counted(over, of, name, total == null ? Outcome.FULL : Outcome.OK,
-                total == null ? 0 : total))));
+            around.network.pass(counter.party(), party, () -> enter(() -> counted(over, of, name,
+                total == null ? Outcome.FULL : Outcome.OK, total == null ? 0 : total)))));
     }
 
     private void counted(boolean[] over, int of, long name, Outcome outcome, double total) {
--- a/lab/src/main/java/thistlefall/lab/model/ServerHost.java
+++ b/lab/src/main/java/thistlefall/lab/model/ServerHost.java
@@ -31,6 +31,7 @@
     private final Set<Call> calls = new LinkedHashSet<>();
     private ArchiveServer<Call> core;
     private int life;
+    private boolean draining;
     private long startedAt, wakeAt = Long.MAX_VALUE;
 
     /** Warm, and started long ago. */
@@ -80,7 +81,25 @@
         calls.clear();
     }
 
+    /** Carries out a fault on its core, if it runs. */
+    void on(Consumer<ArchiveServer<?>> what) {
+        if (core != null) {
+            what.accept(core);
+            look();
+        }
+    }
+
+    /** Whether discovery tells that it drains. */
+    boolean draining() {
+        return draining;
+    }
+
+    void drain() {
+        draining = true;
+    }
+
     void start() {
+        draining = false;
         core = new ArchiveServer<>(terms, timeline.now(), timeline.now());
         startedAt = timeline.now();
     }
--- a/lab/src/main/java/thistlefall/lab/net/Party.java
+++ b/lab/src/main/java/thistlefall/lab/net/Party.java
@@ -6,6 +6,16 @@
  * @param name unique in a fleet, such as {@code n3} or {@code counter}
  * @param zone where it stands
  * @param region the zone's region
+ * @param role what it is
  */
-public record Party(String name, String zone, String region) {
+public record Party(String name, String zone, String region, Role role) {
+    /** What a party is. */
+    public enum Role {
+        /** An edge node. */
+        NODE,
+        /** An archive server. */
+        SERVER,
+        /** Anything else: the front, the counter, discovery. */
+        OTHER
+    }
 }
--- a/lab/src/main/java/thistlefall/lab/scenario/Play.java
+++ b/lab/src/main/java/thistlefall/lab/scenario/Play.java
@@ -7,11 +7,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
-import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
@@ -28,26 +27,34 @@
 import thistlefall.lab.net.Selector;
 import thistlefall.lab.process.DeployFile;
 import thistlefall.lab.process.NodeProcess.Signal;
+import thistlefall.lab.scenario.Scenario.Trouble;
 import thistlefall.lab.stand.ArchiveServer;
+import thistlefall.lab.stand.Member;
+import thistlefall.lab.stand.Member.Phase;
+import thistlefall.lab.stand.Roll;
 import thistlefall.lab.stand.http.ArchiveServerPort;
 
 /** One play of a scenario with real processes. */
-public final class Play implements Stage {
+public final class Play implements Stage, Fleet.History {
     private static final double SECOND = 1e9;
+    /** The status of a process that kill -9 ended. */
+    private static final int KILLED = 137;
+    /** What one machine bears. */
+    private static final int MOST_NODES = 40, MOST_SERVERS = 200;
     private static final long READY_S = 60, END_S = 30, LOOK_MS = 20;
     private final Scenario scenario;
     private final Topology topology;
     private final Queue<Event> history = new ConcurrentLinkedQueue<>();
     private final Consumer<String> progress;
-    /** Archive servers that were started anew. */
-    private final Set<Party> began = new LinkedHashSet<>();
     private final Map<String, Long> works = new HashMap<>();
+    private final SplittableRandom chance;
     private Fleet fleet;
 
     private Play(Scenario scenario, Consumer<String> progress) {
         this.scenario = scenario;
         this.progress = progress;
         topology = scenario.topology().topology();
+        chance = new SplittableRandom(scenario.seed());
     }
 
     /**
@@ -63,12 +70,15 @@
     }
 
     private Result run(DeployFile deploy, Path folder) throws IOException, InterruptedException {
+        if (topology.nodes().size() > MOST_NODES || topology.servers().size() > MOST_SERVERS) {
+            throw new IOException("more than " + MOST_NODES + " nodes or " + MOST_SERVERS + " servers are for the model alone");
+        }
         List<Arrival> arrivals = scenario.arrivals();
         arrivals.forEach(one -> works.put(one.id(), one.work()));
         long begun;
         EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try (Fleet started = new Fleet(topology, deploy, folder, new Fleet.Terms(scenario.servers().terms(),
-            scenario.counter().terms(), scenario.told(), works::get), this::history, scenario.seed())) {
+            scenario.counter().terms(), scenario.told(), works::get), this, scenario.seed())) {
             fleet = started;
             fleet.start(topology.nodes());
             ready();
@@ -117,7 +127,26 @@
         }
     }
 
-    private ArchiveServerPort.History history(Party server) {
+    @Override
+    public void told(long at, Party node, Roll roll) {
+        for (Member one : roll.members()) {
+            if (one.phase() != Phase.READY) {
+                history.add(new Event.Told(at, node.name(), one.id()));
+            } else if (one.upSince() > 0) {
+                history.add(new Event.Learned(at, node.name(), one.id()));
+            }
+        }
+    }
+
+    @Override
+    public void ended(long at, Party node, int status, boolean asked) {
+        if (!asked || status != 0 && status != KILLED) {
+            history.add(new Event.Crashed(at, node.name(), status));
+        }
+    }
+
+    @Override
+    public ArchiveServerPort.History of(Party server) {
         return new ArchiveServerPort.History() {
             @Override
             public void arrived(long at, String id, String key) {
@@ -133,8 +162,10 @@
         };
     }
 
-    private void learned(Party node, Party server, long delay) {
-        history.add(new Event.Learned(System.nanoTime() + delay, node.name(), server.name()));
+    private void die(Party server) throws IOException {
+        last(server);
+        history.add(new Event.Died(System.nanoTime(), server.name()));
+        fleet.kill(server);
     }
 
     /** What there is to say of a server's life at its end. */
@@ -166,29 +197,75 @@
     }
 
     @Override
-    public void kill(Selector whom, Scenario.Only only) throws IOException {
-        for (Party node : topology.nodes().stream().filter(node -> only.nodes() && whom.matches(node)).toList()) {
+    public void begin(Scenario.Trouble what, Selector whom, long span) throws IOException, InterruptedException {
+        for (Party node : nodes(whom)) {
             long from = System.nanoTime();
-            fleet.signal(node, Signal.KILL);
-            history.add(new Event.Lost(from, node.name(), System.nanoTime() + Script.GRACE));
+            switch (what) {
+                case KILL -> {
+                    fleet.signal(node, Signal.KILL);
+                    history.add(new Event.Lost(from, node.name(), System.nanoTime() + Script.GRACE));
+                }
+                case STOP -> {
+                    fleet.signal(node, Signal.STOP);
+                    history.add(new Event.Lost(from, node.name(), from + span + Script.GRACE));
+                }
+                case TERM -> fleet.term(node);
+                case SILENT -> fleet.silent(node, true);
+                case DRAIN, SLOW, FAILING -> { }
+            }
         }
-        for (Party server : topology.servers().stream().filter(server -> only.servers() && whom.matches(server)).toList()) {
-            last(server);
-            fleet.kill(server);
+        for (Party server : servers(whom)) {
+            SplittableRandom own = chance.split();
+            fleet.on(server, core -> ServerFaults.begin(what, core, System.nanoTime(), own));
+            if (what == Trouble.KILL) {
+                die(server);
+            } else if (what == Trouble.DRAIN) {
+                fleet.drain(server, Script.TOLD);
+            }
         }
     }
 
     @Override
-    public void restart(Selector whom, Scenario.Only only) throws IOException, InterruptedException {
-        for (Party server : topology.servers().stream().filter(server -> only.servers() && whom.matches(server)).toList()) {
-            fleet.restart(server, Script.TOLD);
-            history.add(new Event.Started(System.nanoTime(), server.name()));
-            began.add(server);
-            topology.nodes().forEach(node -> learned(node, server, Script.TOLD));
+    public void end(Scenario.Trouble what, Selector whom) throws IOException, InterruptedException {
+        for (Party server : servers(whom)) {
+            if (what == Trouble.SLOW || what == Trouble.FAILING) {
+                fleet.on(server, core -> ServerFaults.end(what, core, System.nanoTime()));
+            }
+            if (what == Trouble.DRAIN) {
+                die(server);
+            }
+            if (what == Trouble.DRAIN || what == Trouble.KILL) {
+                history.add(new Event.Started(System.nanoTime(), server.name()));
+                fleet.restart(server, Script.TOLD);
+            }
+        }
+        if (what == Trouble.KILL || what == Trouble.TERM) {
+            fleet.start(nodes(whom));
         }
-        for (Party node : topology.nodes().stream().filter(node -> only.nodes() && whom.matches(node)).toList()) {
-            began.forEach(server -> learned(node, server, 0));
+        for (Party node : nodes(whom)) {
+            if (what == Trouble.STOP) {
+                fleet.signal(node, Signal.CONT);
+            } else if (what == Trouble.SILENT) {
+                fleet.silent(node, false);
+            }
         }
-        fleet.start(topology.nodes().stream().filter(node -> only.nodes() && whom.matches(node)).toList());
+    }
+
+    private List<Party> nodes(Selector whom) {
+        return topology.nodes().stream().filter(node -> whom.matches(node)).toList();
+    }
+
+    private List<Party> servers(Selector whom) {
+        return topology.servers().stream().filter(server -> whom.matches(server)).toList();
+    }
+
+    @Override
+    public void begin(Scenario.CounterTrouble what) {
+        fleet.counter().on(core -> CounterFaults.begin(what, core, System.nanoTime()));
+    }
+
+    @Override
+    public void end(Scenario.CounterTrouble what) {
+        fleet.counter().on(core -> CounterFaults.end(what, core, System.nanoTime()));
     }
 }
--- a/lab/src/main/java/thistlefall/lab/scenario/Result.java
+++ b/lab/src/main/java/thistlefall/lab/scenario/Result.java
@@ -12,7 +12,6 @@
 import thistlefall.lab.judge.Judge;
 import thistlefall.lab.load.Arrival;
 import thistlefall.lab.load.Arrivals;
-import thistlefall.lab.load.Plan;
 import thistlefall.lab.load.RequestClass;
 import thistlefall.lab.net.Party;
 
@@ -22,6 +21,7 @@
  * @param arrivals a digest of what was asked
  * @param asked requests that arrived
  * @param goodput the share of the worth asked for that was answered within its aim, 0 to 1
+ * @param possible the most that the capacity of the archive servers that ran allowed, 0 to 1 (edge nodes left out)
  * @param served answered with 200
  * @param refused answered with 429 or 503
  * @param failed with any other answer, none, or no connection
@@ -33,7 +33,7 @@
  * @param recovery how it came back from its faults; null if it had none, or they last to the end
  * @param findings the broken rules
  */
-public record Result(String scenario, long seed, String arrivals, int asked, double goodput, int served, int refused, int failed,
+public record Result(String scenario, long seed, String arrivals, int asked, double goodput, double possible, int served, int refused, int failed,
                      double p50Ms, double p99Ms, long attempts, int fell, double pressure, Recovery recovery, List<Second> seconds,
                      List<Finding> findings) {
     private static final double MS = 1e6, SECOND = 1e9;
@@ -42,12 +42,13 @@
 
     /** A second while it is added up. */
     private static final class Sum {
-        int asked, served, refused;
+        final List<Arrival> arrivals = new ArrayList<>();
+        int served, refused;
         double worth, good;
         final Map<String, Integer> attempts = new TreeMap<>();
 
-        Second second() {
-            return new Second(asked, worth, good, served, refused, attempts);
+        Second second(double possible) {
+            return new Second(arrivals.size(), worth, good, possible, served, refused, attempts);
         }
     }
 
@@ -85,10 +86,9 @@
         Histogram times = new Histogram(MOST, DIGITS);
         for (Arrival one : arrivals) {
             RequestClass kind = scenario.load().classes().get(one.requestClass()).requestClass();
-            Plan plan = scenario.load().plans().get(one.plan()).plan();
             Sum in = seconds.get((int) (one.at() / SECOND));
-            double its = kind.worth() * plan.price();
-            in.asked++;
+            double its = Capacity.worth(scenario, one);
+            in.arrivals.add(one);
             in.worth += its;
             Event.Answered answer = answers.get(one.id());
             if (answer != null && answer.status() == OK) {
@@ -102,11 +102,19 @@
         }
         double worth = seconds.stream().mapToDouble(one -> one.worth).sum(), good = seconds.stream().mapToDouble(one -> one.good).sum();
         int served = seconds.stream().mapToInt(one -> one.served).sum(), refused = seconds.stream().mapToInt(one -> one.refused).sum();
-        List<Second> all = seconds.stream().map(Sum::second).toList();
+        Capacity capacity = new Capacity(scenario, history);
+        List<Second> all = new ArrayList<>();
+        for (int i = 0; i < seconds.size(); i++) {
+            long from = begun + (long) (i * SECOND);
+            Sum one = seconds.get(i);
+            all.add(one.second(Capacity.possible(scenario, one.arrivals, capacity.between(from, from + (long) SECOND))));
+        }
+        double possible = all.stream().mapToDouble(Second::possible).sum();
         Recovery recovery = scenario.faults().isEmpty() ? null : Recovery.of(all,
             scenario.faults().stream().mapToDouble(Scenario.Fault::atS).min().orElseThrow(),
             scenario.faults().stream().mapToDouble(Scenario.Fault::untilS).max().orElseThrow());
         return new Result(scenario.name(), scenario.seed(), Arrivals.digest(arrivals), arrivals.size(), worth == 0 ? 0 : good / worth,
+            worth == 0 ? 0 : possible / worth,
             served, refused, arrivals.size() - served - refused, times.getValueAtPercentile(50) / MS,
             times.getValueAtPercentile(99) / MS, attempts, fell, pressure, recovery, all, Judge.judge(scenario.rules(), history, end));
     }
--- a/lab/src/main/java/thistlefall/lab/scenario/Scenario.java
+++ b/lab/src/main/java/thistlefall/lab/scenario/Scenario.java
@@ -12,7 +12,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Locale;
 import java.util.Objects;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -45,8 +44,8 @@
             DeserializationFeature.FAIL_ON_TRAILING_TOKENS).enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS).build();
     /** Protocol, The rules on sockets: each limit is 50 ms longer; the answer's slack and the stop's span are the settings'. */
     private static final long ANSWER_SLACK = 58_000_000L, STOP_WITHIN = 1_050_000_000L, CEILING_SLACK = 150_000_000L;
-    /** What one machine of ours bears. */
-    private static final int MOST_NODES = 40, MOST_SERVERS = 200;
+    /** What the model bears. */
+    private static final int MOST_NODES = 1_000, MOST_SERVERS = 1_000;
     private static final double MOST_SPAN_S = 3_600;
 
     /** A file that can't be played; the message is one line that names the place. */
@@ -145,54 +144,55 @@
         }
     }
 
-    /** Which processes a fault is about. */
-    public enum Only {
-        /** Those of edge nodes and of archive servers. */
-        ALL,
-        /** Those of edge nodes. */
-        NODES,
-        /** Those of archive servers. */
-        SERVERS;
-
-        /** Whether it is about edge nodes. */
-        public boolean nodes() {
-            return this != SERVERS;
-        }
-
-        /** Whether it is about archive servers. */
-        public boolean servers() {
-            return this != NODES;
-        }
+    /** What happens to processes. */
+    public enum Trouble {
+        /** Edge nodes and archive servers die; they start again, servers cold. */
+        KILL,
+        /** Edge nodes are told to end, by SIGTERM, and start again. */
+        TERM,
+        /** Edge nodes stand still, by SIGSTOP, and go on. */
+        STOP,
+        /** Archive servers drain, as discovery tells; they start again, cold. */
+        DRAIN,
+        /** Discovery says nothing to edge nodes. */
+        SILENT,
+        /** Archive servers need five times as long. */
+        SLOW,
+        /** One in five of what archive servers work on ends in an error. */
+        FAILING
+    }
 
-        @Override
-        public String toString() {
-            return this == ALL ? "nodes and servers" : name().toLowerCase(Locale.ROOT);
-        }
+    /** What happens to the counter. */
+    public enum CounterTrouble {
+        /** It is gone with all that it held, and comes back elsewhere, empty. */
+        GONE,
+        /** It forgets all that it held, at the beginning and at the end. */
+        FLUSHED,
+        /** Each call takes ten times as long. */
+        SLOW
     }
 
     /**
-     * Something that goes wrong at {@code atS} and is mended at {@code untilS}: the ways from these to those, both ways or
-     * one, are cut, lossy or slow; or processes are killed, and started again.
+     * Something that goes wrong at {@code atS} and is mended at {@code untilS}. One of three: the ways from these to those,
+     * both ways or one, are cut, lossy or slow; something happens to processes; something happens to the counter.
      *
-     * @param only which of the processes; null for all
+     * @param what what happens to processes
+     * @param whom to whose
+     * @param counter what happens to the counter
      */
-    public record Fault(double atS, double untilS, String from, String to, Boolean both, Boolean cut,
-                        Double loss, Double delayMs, String kill, Only only) {
+    public record Fault(double atS, double untilS, String from, String to, Boolean both, Boolean cut, Double loss, Double delayMs,
+                        Trouble what, String whom, CounterTrouble counter) {
         /** Checks its ranges; the message names the figure. */
         public Fault {
             check(atS >= 0 && untilS > atS, "at-s is below 0, or until-s is not after it");
-            check((kill == null) == (from != null && to != null), "from and to are wanted, or kill");
-            check(only == null || kill != null, "only is about kill");
-            Stream.of(from == null ? "*" : from, to == null ? "*" : to, kill == null ? "*" : kill).forEach(Selector::parse);
+            check(Stream.of(from, what, counter).filter(Objects::nonNull).count() == 1 && (from == null) == (to == null)
+                && (what == null) == (whom == null), "either from and to, or what and whom, or counter is wanted");
+            check(from != null || both == null && cut == null && loss == null && delayMs == null, "both, cut, loss and delay-ms are about from and to");
+            Stream.of(from, to, whom).filter(Objects::nonNull).forEach(Selector::parse);
             conditions(cut, loss, delayMs);
         }
 
-        /** Whose processes are killed. */
-        public Only processes() {
-            return only == null ? Only.ALL : only;
-        }
-
-        /** What it makes of a link; good where processes are killed. */
+        /** What it makes of a link; good where it is not about links. */
         public Conditions conditions() {
             return conditions(cut, loss, delayMs);
         }
@@ -209,7 +209,7 @@
         faults = faults == null ? List.of() : faults;
         Topology of = topology.topology();
         for (Fault fault : faults) {
-            Stream.of(fault.from(), fault.to(), fault.kill()).filter(Objects::nonNull).forEach(text -> known(of, text));
+            Stream.of(fault.from(), fault.to(), fault.whom()).filter(Objects::nonNull).forEach(text -> known(of, text));
         }
     }
 
@@ -218,7 +218,7 @@
         Selector selector = Selector.parse(text);
         Stream<Party> all = Stream.of(of.nodes().stream(), of.servers().stream(), Stream.of(of.front(), of.counter(), of.discovery()))
             .flatMap(one -> one);
-        Selector named = new Selector(selector.kind(), selector.name(), false);
+        Selector named = new Selector(selector.kind(), selector.name(), false, selector.role());
         check(all.anyMatch(named::matches), "'" + text + "' names nobody");
     }
 
--- a/lab/src/main/java/thistlefall/lab/scenario/Script.java
+++ b/lab/src/main/java/thistlefall/lab/scenario/Script.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import thistlefall.lab.fleet.Topology;
 import thistlefall.lab.judge.Event;
 import thistlefall.lab.net.Party;
@@ -37,11 +38,15 @@
         for (Scenario.Fault fault : scenario.faults()) {
             String name = "fault " + steps.size();
             long at = (long) (fault.atS() * SECOND), until = (long) (fault.untilS() * SECOND);
-            if (fault.kill() != null) {
-                Selector whom = Selector.parse(fault.kill());
-                Scenario.Only only = fault.processes();
-                steps.add(new Step(at, "killed: " + whom + " " + only, () -> stage.kill(whom, only)));
-                steps.add(new Step(until, "started again: " + whom + " " + only, () -> stage.restart(whom, only)));
+            if (fault.what() != null) {
+                Selector whom = Selector.parse(fault.whom());
+                String text = fault.what().name().toLowerCase(Locale.ROOT) + " " + whom;
+                steps.add(new Step(at, text, () -> stage.begin(fault.what(), whom, until - at)));
+                steps.add(new Step(until, "no more: " + text, () -> stage.end(fault.what(), whom)));
+            } else if (fault.counter() != null) {
+                String text = "counter " + fault.counter().name().toLowerCase(Locale.ROOT);
+                steps.add(new Step(at, text, () -> stage.begin(fault.counter())));
+                steps.add(new Step(until, "no more: " + text, () -> stage.end(fault.counter())));
             } else {
                 Selector from = Selector.parse(fault.from()), to = Selector.parse(fault.to());
                 boolean both = Boolean.TRUE.equals(fault.both());
--- a/lab/src/main/java/thistlefall/lab/scenario/Stage.java
+++ b/lab/src/main/java/thistlefall/lab/scenario/Stage.java
@@ -19,9 +19,15 @@
     /** Ends a fault. */
     void clear(String name) throws IOException;
 
-    /** Kills the processes of nodes and archive servers, and writes down which nodes were lost. */
-    void kill(Selector whom, Scenario.Only only) throws IOException;
+    /** Something happens to processes for {@code span} nanoseconds; what it keeps nodes from is written down as lost. */
+    void begin(Scenario.Trouble what, Selector whom, long span) throws IOException, InterruptedException;
 
-    /** Starts them again, and writes down which archive servers began anew. */
-    void restart(Selector whom, Scenario.Only only) throws IOException, InterruptedException;
+    /** That is mended; which archive servers began anew is written down. */
+    void end(Scenario.Trouble what, Selector whom) throws IOException, InterruptedException;
+
+    /** Something happens to the counter. */
+    void begin(Scenario.CounterTrouble what);
+
+    /** That is mended. */
+    void end(Scenario.CounterTrouble what);
 }
--- a/lab/src/main/java/thistlefall/lab/stand/ArchiveServer.java
+++ b/lab/src/main/java/thistlefall/lab/stand/ArchiveServer.java
@@ -6,6 +6,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 
 /**
  * One run of an archive server: it takes requests into slots that share its cores evenly, lets more wait, turns the
@@ -21,6 +22,8 @@
         SERVED,
         /** A repeat of a key whose first has been served: it did not run again. */
         REPEATED,
+        /** It ran, and ended in an error. */
+        FAILED,
         /** Never ran: full, draining, or a repeat of what still runs. */
         TURNED_AWAY
     }
@@ -58,6 +61,8 @@
     private long clock;
     private double pressure;
     private long fellAt = Long.MAX_VALUE;
+    private double slower = 1, failing;
+    private SplittableRandom chance;
     private boolean draining;
 
     /** Starts cold now, or as warm as if it had started at {@code startedAt}. */
@@ -70,8 +75,12 @@
 
     /** The share of its whole capacity that it has at a time. */
     public double warmth(long at) {
-        return terms.ramp() == 0 || at - warmFrom >= terms.ramp() ? 1
-            : terms.coldFrom() + (1 - terms.coldFrom()) * (at - warmFrom) / terms.ramp();
+        return warmth(terms, at - warmFrom);
+    }
+
+    /** The share of its whole capacity that a server has so long after its start. */
+    public static double warmth(ServerTerms terms, long age) {
+        return terms.ramp() == 0 || age >= terms.ramp() ? 1 : terms.coldFrom() + (1 - terms.coldFrom()) * age / terms.ramp();
     }
 
     /** When it fell over and answered nothing any more; {@link Long#MAX_VALUE} if it did not. */
@@ -89,6 +98,19 @@
         return working.size() + waiting.size();
     }
 
+    /** From now on work needs {@code times} as long, 1 or more; as if all cores were so much slower. */
+    public void slow(long now, double times) {
+        advance(now);
+        slower = times;
+    }
+
+    /** From now on this share of what it works on ends in an error, 0 to 1. */
+    public void fail(long now, double share, SplittableRandom drawnFrom) {
+        advance(now);
+        failing = share;
+        chance = drawnFrom;
+    }
+
     /** Takes no new work from now on; what it has it finishes. */
     public void drain() {
         draining = true;
@@ -135,7 +157,7 @@
 
     /** Work done for each request in a nanosecond. */
     private double pace(long at) {
-        return Math.min(1, terms.cores() / working.size()) * warmth(at);
+        return Math.min(1, terms.cores() / working.size()) * warmth(at) / slower;
     }
 
     /** When to ask next; {@link Long#MAX_VALUE} if there is nothing to do. */
@@ -176,8 +198,11 @@
             job.left -= done;
             if (job.left <= 0) {
                 jobs.remove();
-                ended.add(new Ended<>(job.request, Ending.SERVED));
-                if (job.key != null) {
+                boolean failed = failing > 0 && chance.nextDouble() < failing;
+                ended.add(new Ended<>(job.request, failed ? Ending.FAILED : Ending.SERVED));
+                if (failed) {
+                    keys.remove(job.key);
+                } else if (job.key != null) {
                     keys.put(job.key, new Key(clock));
                 }
             }
--- a/lab/src/main/java/thistlefall/lab/stand/Counter.java
+++ b/lab/src/main/java/thistlefall/lab/stand/Counter.java
@@ -74,6 +74,11 @@
         return Math.max(1, (long) (terms.perCall() * slowness));
     }
 
+    /** How many parts it has. */
+    public int parts() {
+        return parts.size();
+    }
+
     /** Each call takes so many times as long from now on, 1 or more; the one in work keeps its time. */
     public void slow(long now, double times) {
         advance(now);
--- a/lab/src/main/java/thistlefall/lab/stand/http/ArchiveServerPort.java
+++ b/lab/src/main/java/thistlefall/lab/stand/http/ArchiveServerPort.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
 import thistlefall.lab.stand.ArchiveServer;
 import thistlefall.lab.stand.ArchiveServer.Ended;
@@ -42,6 +43,11 @@
         this.history = history;
     }
 
+    /** Carries out a fault on its core, on its loop. */
+    public void on(Consumer<ArchiveServer<?>> what) {
+        carry(() -> what.accept(core));
+    }
+
     /** Takes no new work from now on. */
     public void drain() {
         carry(core::drain);
@@ -81,6 +87,7 @@
             history.ended(now, call.id, one.how());
             switch (one.how()) {
                 case SERVED, REPEATED -> call.reply.answer(HttpResponseStatus.OK, call.id);
+                case FAILED -> call.reply.answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, "");
                 case TURNED_AWAY -> call.reply.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "", "X-Never-Ran", "1");
             }
         }
--- a/lab/src/main/java/thistlefall/lab/stand/http/DiscoveryPort.java
+++ b/lab/src/main/java/thistlefall/lab/stand/http/DiscoveryPort.java
@@ -25,12 +25,20 @@
 public final class DiscoveryPort extends Port {
     private static final String PATH = "/catalog/members";
 
+    /** Hears what was written to the edge node, and when. */
+    public interface History {
+        /** On the loop; times are nanoseconds of the JVM's clock. */
+        void wrote(long at, Roll roll);
+    }
+
     private final Agent agent;
+    private final History history;
     private final Map<Channel, Watch> watches = new LinkedHashMap<>();
 
     /** Listens when it returns. */
-    public DiscoveryPort(EventLoop loop, InetSocketAddress at, Roll begin) throws IOException {
+    public DiscoveryPort(EventLoop loop, InetSocketAddress at, Roll begin, History history) throws IOException {
         super(loop, at);
+        this.history = history;
         agent = new Agent(begin);
     }
 
@@ -59,6 +67,7 @@
             to.channel().writeAndFlush(head);
             watches.put(to.channel(), new Watch(agent, now, after(uri)));
         } else if (!agent.silent()) {
+            history.wrote(now, agent.whole());
             to.answer(HttpResponseStatus.OK, agent.whole().json());
         }
     }
@@ -83,6 +92,7 @@
         for (Map.Entry<Channel, Watch> one : watches.entrySet()) {
             Roll roll = one.getValue().poll(now);
             if (roll != null) {
+                history.wrote(now, roll);
                 boolean nothing = roll.members().isEmpty() && !roll.complete();
                 one.getKey().writeAndFlush(new DefaultHttpContent(
                     Unpooled.copiedBuffer((nothing ? "" : roll.json()) + "\n", StandardCharsets.UTF_8)));
--- a/lab/src/test/java/thistlefall/lab/judge/JudgeTest.java
+++ b/lab/src/test/java/thistlefall/lab/judge/JudgeTest.java
@@ -100,6 +100,8 @@
             judge(new Told(SECOND, "n1", "s1"), new Told(2 * SECOND, "n1", "s1"), ask, sent, answer));
         assertEquals(NONE, judge(new Told(0, "n2", "s1"), new Told(0, "n1", "s2"), ask, sent, answer));
         assertEquals(NONE, judge(new Told(0, "n1", "s1"), new Started(SECOND, "s1"), ask, sent, answer));
+        assertEquals(NONE, judge(new Told(0, "n1", "s1"), new Learned(SECOND, "n1", "s1"), ask, sent, answer));
+        assertEquals(1, judge(new Told(0, "n1", "s1"), new Learned(SECOND, "n2", "s1"), ask, sent, answer).size());
     }
 
     @Test
--- a/lab/src/test/java/thistlefall/lab/net/WaysTest.java
+++ b/lab/src/test/java/thistlefall/lab/net/WaysTest.java
@@ -105,7 +105,8 @@
 
     @Test
     void faultsMeanPartiesZonesAndRegionsInOneDirection() {
-        Party n1 = new Party("n1", "a", "north"), s1 = new Party("s1", "b", "north"), s2 = new Party("s2", "c", "south");
+        Party n1 = new Party("n1", "a", "north", Party.Role.NODE);
+        Party s1 = new Party("s1", "b", "north", Party.Role.SERVER), s2 = new Party("s2", "c", "south", Party.Role.SERVER);
         Faults faults = new Faults();
         faults.set("cut", Selector.parse("zone:b"), Selector.parse("!zone:b"), Conditions.CUT);
         faults.set("slow", Selector.parse("*"), Selector.parse("region:south"), new Conditions(false, 0.5, 0, 5, 1, 900));
@@ -118,15 +119,19 @@
         assertTrue(faults.clear("cut"));
         assertFalse(faults.clear("cut"));
         assertEquals(Conditions.GOOD, faults.between(s1, n1));
+        assertTrue(Selector.parse("servers/!zone:c").matches(s1));
+        assertFalse(Selector.parse("servers/!zone:c").matches(s2));
+        assertFalse(Selector.parse("servers/!zone:c").matches(n1));
+        assertTrue(Selector.parse("nodes/*").matches(n1));
     }
 
     @Test
     void whatCanNotBeMeantIsRefusedByName() {
-        for (String text : List.of("", "!", "!*", "zone", "zone:", ":a", "rack:a", "!!zone:a")) {
+        for (String text : List.of("", "!", "!*", "zone", "zone:", ":a", "rack:a", "!!zone:a", "nodes/", "racks/*", "!nodes/*")) {
             assertTrue(assertThrows(IllegalArgumentException.class, () -> Selector.parse(text)).getMessage()
                 .startsWith("'" + text + "' is not"), text);
         }
-        for (String text : List.of("*", "node:n1", "!zone:a", "region:x:y")) {
+        for (String text : List.of("*", "node:n1", "!zone:a", "region:x:y", "nodes/*", "servers/!zone:b")) {
             assertEquals(text, Selector.parse(text).toString());
         }
         assertTrue(assertThrows(IllegalArgumentException.class, () -> new Conditions(false, Double.NaN, 0, 0, 0, 0))
--- a/lab/src/test/java/thistlefall/lab/scenario/ScenarioTest.java
+++ b/lab/src/test/java/thistlefall/lab/scenario/ScenarioTest.java
@@ -40,10 +40,16 @@
             good.replace("span-s", "span"), "span-s is missing",
             good.replace("cores: 4", "cores: four"), "line 6: servers.cores Cannot deserialize",
             good.replace("cores: 4", "cores: 0"), "line 6: servers cores is out of its range",
-            good.replace("nodes: 12", "nodes: 41"), "line 5: topology nodes is not 1 to 40",
+            good.replace("nodes: 12", "nodes: 1001"), "line 5: topology nodes is not 1 to 1000",
             good.replace("until-s: 10", "until-s: 5"), "at-s is below 0, or until-s is not after it",
             good.replace("work-ms: 200, worth: 1}", "work-ms: 0, worth: 1}"), "line 13: load.classes.0 search: work is not above 0",
             good.replace("least: 0.5", "least: 2"), "least is not 0 to 1"));
+        broken.putAll(Map.of(
+            good.replace("what: kill", "what: burn"), "faults.0.what Cannot deserialize",
+            good.replace("what: kill,", ""), "either from and to, or what and whom, or counter is wanted",
+            good.replace("what: kill", "what: kill, counter: gone"), "either from and to, or what and whom, or counter is wanted",
+            good.replace("what: kill", "what: kill, cut: true"), "both, cut, loss and delay-ms are about from and to",
+            good.replace("zone:b", "racks/zone:b"), "'racks/zone:b' is not"));
         broken.put("a: [", "line 1: ");
         for (Map.Entry<String, String> one : broken.entrySet()) {
             String said = assertThrows(Scenario.Invalid.class, () -> Scenario.parse(one.getKey())).getMessage();
--- a/lab/src/test/java/thistlefall/lab/stand/ArchiveServerTest.java
+++ b/lab/src/test/java/thistlefall/lab/stand/ArchiveServerTest.java
@@ -93,6 +93,24 @@
         assertTrue(warm.fellAt() == Long.MAX_VALUE);
     }
 
+    @Test
+    void aSlowOneDoesAFifthAndAFailingOneLosesItsShare() {
+        ArchiveServer<Integer> slow = new ArchiveServer<>(TERMS, 0, WARM);
+        slow.slow(0, 5);
+        assertEquals(80, load(slow, 40, 20 * SECOND, 200 * MS).get(Ending.SERVED), 12);
+        ArchiveServer<Integer> failing = new ArchiveServer<>(TERMS, 0, WARM);
+        failing.fail(0, 0.2, new SplittableRandom(1));
+        Map<Ending, Integer> ended = load(failing, 10, 100 * SECOND, 200 * MS);
+        assertEquals(0.2, ended.get(Ending.FAILED) / 1_000.0, 0.05);
+        ArchiveServer<Integer> once = new ArchiveServer<>(TERMS, 0, WARM);
+        once.fail(0, 1, new SplittableRandom(1));
+        once.arrive(0, -1, "k", 100 * MS);
+        assertEquals(Ending.FAILED, once.poll(SECOND).how());
+        once.fail(SECOND, 0, null);
+        once.arrive(SECOND, -2, "k", 100 * MS);
+        assertEquals(Ending.SERVED, once.poll(2 * SECOND).how(), "a failed one is no repeat");
+    }
+
     @Test
     void aRepeatOfAKeyDoesNotRunAgainWhileItIsKept() {
         ArchiveServer<Integer> server = new ArchiveServer<>(TERMS, 0, WARM);
--- a/lab/src/test/java/thistlefall/lab/stand/http/PortsTest.java
+++ b/lab/src/test/java/thistlefall/lab/stand/http/PortsTest.java
@@ -155,7 +155,7 @@
     @Test
     void discoveryTellsItsListAndWhatChanges() throws Exception {
         Member one = new Member("s-1", "127.0.0.1:81", "a", "m2", 3, Member.Phase.READY, 1.5, 0);
-        DiscoveryPort discovery = new DiscoveryPort(group.next(), ANY, new Roll(7, true, List.of(one)));
+        DiscoveryPort discovery = new DiscoveryPort(group.next(), ANY, new Roll(7, true, List.of(one)), (at, roll) -> { });
         open.add(discovery);
         String entry = "{\"id\":\"s-1\",\"host_port\":\"127.0.0.1:81\",\"locality\":\"a\",\"flavor\":\"m2\",\"cell\":3,\"phase\":\"";
         Client client = new Client(discovery);
