Tell the longest standstill of the loop and the longest wait of discovery's word

Need: broken drains were once laid on a busy loop, and nothing in a log could say yes or no (docs/incidents/standing-roll-join.md).

Change: the module's timer, asked for each 10 ms, tells how late it came; word of discovery is timed from its read to the module. Both stand among vars and in the last line of the log after SIGTERM.

Result: a test that holds the loop for 250 ms reads 200 ms and more; edge tests of operators and signals pass. Two reads of the clock more for each timer.

--- a/edge/src/main/java/thistlefall/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/node/EdgeNode.java
@@ -274,8 +274,12 @@
 
     /** The list of app servers, or changes to it. */
     void list(Config.Roll roll, ListKind kind) {
+        long read = System.nanoTime();
         pool.update(roll, kind != ListKind.DELTA);
-        event(null, now -> gateway.list(now, kind, roll.members().stream().map(Config.Member::server).toList()));
+        event(null, now -> {
+            figures.worded(System.nanoTime() - read);
+            gateway.list(now, kind, roll.members().stream().map(Config.Member::server).toList());
+        });
     }
 
     /** From now on the front may send here. */
@@ -482,7 +486,11 @@
 
     @Override
     public void timer(long token, long span) {
-        loop.schedule(() -> event(null, now -> gateway.timer(now, token)), span, TimeUnit.NANOSECONDS);
+        long due = System.nanoTime() + span;
+        loop.schedule(() -> {
+            figures.late(System.nanoTime() - due);
+            event(null, now -> gateway.timer(now, token));
+        }, span, TimeUnit.NANOSECONDS);
     }
 
     @Override
--- a/edge/src/main/java/thistlefall/node/Figures.java
+++ b/edge/src/main/java/thistlefall/node/Figures.java
@@ -22,6 +22,8 @@
 
     private final Counts connections;
     private volatile long discoveryAt = System.nanoTime();
+    /** Written on the loop alone. */
+    private volatile long standstill, wordWait;
 
     Figures(List<String> classes, Counts connections) {
         this.classes = classes;
@@ -62,6 +64,22 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - discoveryAt);
     }
 
+    /** A timer of the module ran so late, in nanoseconds: so long the loop was at something else. */
+    void late(long span) {
+        standstill = Math.max(standstill, span);
+    }
+
+    /** Word of discovery reached the module so long after it was read, in nanoseconds. */
+    void worded(long span) {
+        wordWait = Math.max(wordWait, span);
+    }
+
+    /** The worst of both since the process began, in a line. */
+    String worst() {
+        return "longest standstill of the loop " + TimeUnit.NANOSECONDS.toMillis(standstill)
+            + " ms, longest wait of discovery's word " + TimeUnit.NANOSECONDS.toMillis(wordWait) + " ms";
+    }
+
     /** A figure a line. */
     String text() {
         StringBuilder text = new StringBuilder();
@@ -76,6 +94,8 @@
         line(text, "known_archive_servers", known.get());
         line(text, "skipped_archive_servers", skipped.get());
         line(text, "discovery.silent_ms", discoverySilence());
+        line(text, "discovery.longest_wait_ms", TimeUnit.NANOSECONDS.toMillis(wordWait));
+        line(text, "loop.longest_standstill_ms", TimeUnit.NANOSECONDS.toMillis(standstill));
         connections.tell((name, value) -> line(text, "connections." + name, value));
         return text.toString();
     }
--- a/edge/src/main/java/thistlefall/node/Main.java
+++ b/edge/src/main/java/thistlefall/node/Main.java
@@ -126,6 +126,7 @@
     private static void stop(EdgeNode node) {
         try {
             node.stop().get(1, TimeUnit.MINUTES);
+            System.out.println("drained; " + node.figures.worst());
             Runtime.getRuntime().halt(0);
         } catch (Exception e) {
             System.err.println("the drain did not end: " + e);
--- a/edge/src/test/java/thistlefall/node/OpsServerTest.java
+++ b/edge/src/test/java/thistlefall/node/OpsServerTest.java
@@ -81,6 +81,28 @@
         }
     }
 
+    @Test
+    void aStandstillOfTheLoopIsAmongTheFigures() throws Exception {
+        EdgeNode node = node(peer(m -> m.answer(Peer.ok("", "x"))));
+        OpsServer ops = ops(node);
+        CompletableFuture<Void> stood = new CompletableFuture<>();
+        node.loop.execute(() -> {
+            try {
+                Thread.sleep(250);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            stood.complete(null);
+        });
+        stood.get();
+        // The module's timer, asked for each 10 ms, came due meanwhile.
+        while (Long.parseLong(vars(ops).get("app.loop.longest_standstill_ms")) < 200) {
+            assertFalse(Thread.interrupted(), vars(ops).toString());
+        }
+        assertTrue(Long.parseLong(vars(ops).get("app.discovery.longest_wait_ms")) < 250);
+        assertTrue(node.figures.worst().startsWith("longest standstill of the loop "), node.figures.worst());
+    }
+
     @Test
     void checkSaysYesOnceTheNodeTakesClients() throws Exception {
         EdgeNode node = node(peer(m -> m.answer(Peer.ok("", "x"))));
