Lab: clients that come again, heeding advice or not

Change: `retries` in a scenario's load; each try has an id of its own and its request's key; a request is served if a try is, in its aim from the first on.

Not yet played on processes.

--- a/lab/src/main/java/thistlefall/lab/cli/Summary.java
+++ b/lab/src/main/java/thistlefall/lab/cli/Summary.java
@@ -20,6 +20,7 @@
         FIGURES.put("refused", Result::refused);
         FIGURES.put("failed", Result::failed);
         FIGURES.put("p99 ms", Result::p99Ms);
+        FIGURES.put("tries", Result::tries);
         FIGURES.put("attempts", Result::attempts);
         FIGURES.put("s to 0.5", one -> one.recovery() == null ? Double.NaN : seconds(one.recovery().toHalf()));
         FIGURES.put("s to 0.9", one -> one.recovery() == null ? Double.NaN : seconds(one.recovery().toNineTenths()));
--- a/lab/src/main/java/thistlefall/lab/load/Clients.java
+++ b/lab/src/main/java/thistlefall/lab/load/Clients.java
@@ -32,11 +32,12 @@
 
 /**
  * Sends arrivals to edge nodes through the {@link Front} (protocol, Clients to edge nodes), all on one event loop. A
- * connection carries one request at a time; a client leaves when its time is up, and does not come again.
+ * connection carries one request at a time; a client leaves when its time is up, and comes again as {@link Retries} say.
  */
 public final class Clients {
     private static final long MS = 1_000_000L;
-    private static final int MOST_BODY = 1 << 16, CONNECT_MS = 1_000, HEALTH_MS = 100;
+    private static final double SECOND = 1e9;
+    private static final int MOST_BODY = 1 << 16, CONNECT_MS = 1_000, HEALTH_MS = 100, OK = 200;
     /** So long after its time a client still looks for the answer, to tell one that is late from none. */
     private static final long LINGER = 500 * MS;
     private static final String HEALTH = "/_health";
@@ -47,6 +48,7 @@
     private final List<RequestClass> classes;
     private final List<Plan> plans;
     private final Front front;
+    private final Retries retries;
     private final Consumer<Event> history;
     private final List<ArrayDeque<Channel>> idle = new ArrayList<>();
     private final CompletableFuture<Void> done = new CompletableFuture<>();
@@ -61,7 +63,8 @@
      * @param history hears what was asked and answered, on the loop
      */
     public Clients(EventLoop loop, List<String> nodes, IntFunction<InetSocketAddress> door, List<RequestClass> classes,
-                   List<Plan> plans, long notice, Consumer<Event> history) {
+                   List<Plan> plans, Retries retries, long notice, Consumer<Event> history) {
+        this.retries = retries;
         this.loop = loop;
         this.nodes = nodes;
         this.door = door;
@@ -87,7 +90,7 @@
         long now = System.nanoTime() - begun;
         while (next < arrivals.size() && arrivals.get(next).at() <= now) {
             open++;
-            new Try(arrivals.get(next++)).start();
+            new Try(arrivals.get(next++), 0, 0).start();
         }
         if (next < arrivals.size()) {
             loop.schedule(this::send, arrivals.get(next).at() - now, TimeUnit.NANOSECONDS);
@@ -119,6 +122,16 @@
             }).connect(door.apply(node));
     }
 
+    /** What {@code Retry-After} says, in nanoseconds; 0 if nothing that can be used. */
+    private static long advice(FullHttpResponse answer) {
+        try {
+            double seconds = Double.parseDouble(answer.headers().get(HttpHeaderNames.RETRY_AFTER, "0"));
+            return seconds > 0 ? (long) Math.min(Long.MAX_VALUE, seconds * SECOND) : 0;
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
     private static DefaultFullHttpRequest request(HttpMethod method, String path) {
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.EMPTY_BUFFER);
         request.headers().set(HttpHeaderNames.HOST, "app.svc").set(HttpHeaderNames.CONTENT_LENGTH, 0);
@@ -140,7 +153,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
-            if (answer.status().code() == 200) {
+            if (answer.status().code() == OK) {
                 front.healthy(node);
             }
             context.close();
@@ -172,7 +185,7 @@
                 context.close();
             }
             if (answered != null) {
-                answered.answered(answer.status().code());
+                answered.answered(answer.status().code(), advice(answer));
             }
         }
 
@@ -193,14 +206,19 @@
     /** One request on its way. */
     private final class Try {
         private final Arrival of;
-        private final int spread, node;
+        private final String id;
+        private final int number, spread, node;
         private final boolean keyed;
         private Channel on;
         private long deadline;
-        private boolean reused, over;
+        private boolean reused, asked, over;
 
-        Try(Arrival of) {
+        /** {@code until} is the first try's deadline; 0 for the first one itself. */
+        Try(Arrival of, int number, long until) {
             this.of = of;
+            this.number = number;
+            id = Retries.id(of.id(), number);
+            deadline = until;
             spread = Math.min(plans.get(of.plan()).spread(), nodes.size());
             node = front.pick(System.nanoTime(), of, spread);
             keyed = classes.get(of.requestClass()).keyed();
@@ -223,10 +241,11 @@
                     write(made.channel());
                 } else {
                     front.refused(System.nanoTime(), node);
-                    if (deadline > 0) {
+                    if (asked) {
                         // Written once to a connection that was closed already, and nobody is there now.
-                        history.accept(new Event.Left(System.nanoTime(), of.id()));
+                        history.accept(new Event.Left(System.nanoTime(), id));
                     }
+                    again(0);
                     end();
                 }
             });
@@ -235,12 +254,13 @@
         private void write(Channel to) {
             on = to;
             long now = System.nanoTime();
-            if (deadline == 0) {
-                deadline = now + of.deadline();
-                loop.schedule(this::leave, of.deadline() + LINGER, TimeUnit.NANOSECONDS);
+            if (!asked) {
+                asked = true;
+                deadline = deadline == 0 ? now + of.deadline() : deadline;
+                loop.schedule(this::leave, deadline - now + LINGER, TimeUnit.NANOSECONDS);
             }
             DefaultFullHttpRequest request = request(keyed ? HttpMethod.POST : HttpMethod.GET, "/api");
-            request.headers().set("X-Trace-Id", of.id()).set("X-Qos", classes.get(of.requestClass()).name())
+            request.headers().set("X-Trace-Id", id).set("X-Qos", classes.get(of.requestClass()).name())
                 .set("X-Plan", plans.get(of.plan()).name())
                 .set("Cookie", String.format(Locale.ROOT, "customer=%016x", of.customer()))
                 .set("X-Expires-In-Ms", Math.max(1, (deadline - now) / MS))
@@ -248,15 +268,29 @@
             if (keyed) {
                 request.headers().set("Idempotency-Key", "k" + of.id());
             }
-            history.accept(new Event.Asked(now, of.id(), nodes.get(node), of.customer(), of.plan(), of.requestClass(), deadline));
+            history.accept(new Event.Asked(now, id, nodes.get(node), of.customer(), of.plan(), of.requestClass(), deadline));
             to.writeAndFlush(request);
         }
 
-        void answered(int status) {
-            history.accept(new Event.Answered(System.nanoTime(), of.id(), status));
+        void answered(int status, long advice) {
+            history.accept(new Event.Answered(System.nanoTime(), id, status));
+            if (status != OK) {
+                again(advice);
+            }
             end();
         }
 
+        /** Asks again after a pause, if it may. */
+        private void again(long advice) {
+            long left = deadline == 0 ? of.deadline() : deadline - System.nanoTime();
+            long pause = over ? -1 : retries.pause(of.id(), number + 1, advice, left);
+            if (pause >= 0) {
+                open++;
+                long until = System.nanoTime() + left;
+                loop.schedule(() -> new Try(of, number + 1, until).start(), pause, TimeUnit.NANOSECONDS);
+            }
+        }
+
         /** The close of an idle connection may have crossed the request: that is sent once more on a new one (protocol). */
         void broken() {
             if (reused && !over) {
@@ -265,14 +299,15 @@
                 return;
             }
             if (!over) {
-                history.accept(new Event.Broken(System.nanoTime(), of.id()));
+                history.accept(new Event.Broken(System.nanoTime(), id));
+                again(0);
             }
             end();
         }
 
         private void leave() {
             if (!over) {
-                history.accept(new Event.Left(System.nanoTime(), of.id()));
+                history.accept(new Event.Left(System.nanoTime(), id));
                 end();
                 if (on != null) {
                     on.close();
--- a/lab/src/main/java/thistlefall/lab/model/Model.java
+++ b/lab/src/main/java/thistlefall/lab/model/Model.java
@@ -16,6 +16,7 @@
 import thistlefall.lab.fleet.Topology;
 import thistlefall.lab.judge.Event;
 import thistlefall.lab.load.Arrival;
+import thistlefall.lab.load.Retries;
 import thistlefall.lab.net.Conditions;
 import thistlefall.lab.net.Faults;
 import thistlefall.lab.net.Party;
@@ -66,7 +67,7 @@
             Map<String, String> pairs = new HashMap<>();
             flatten("", NodeConfig.settings(topology, scenario.told(), node), pairs);
             nodes.add(new NodeHost(node, new NodeHost.Surroundings(timeline, network, SettingsReader.read(pairs), this::list, servers,
-                counter, works::get, this::told, (who, text) -> log.accept(String.format("%.3f s %s: %s", (timeline.now() - START - SETTLE) / 1e9,
+                counter, id -> works.get(Retries.request(id)), this::told, (who, text) -> log.accept(String.format("%.3f s %s: %s", (timeline.now() - START - SETTLE) / 1e9,
                     who.name(), text))), chance.split()));
         }
     }
@@ -82,7 +83,7 @@
         List<Arrival> arrivals = scenario.arrivals();
         long begun = timeline.now();
         new ClientsHost(timeline, network, topology.front(), nodes, scenario.classes(), scenario.plans(),
-            scenario.notice(), history::add).play(arrivals);
+            scenario.retries(), scenario.notice(), history::add).play(arrivals);
         for (Script.Step step : Script.of(scenario, this)) {
             timeline.run(begun + step.at());
             step.change().make();
--- a/lab/src/main/java/thistlefall/lab/model/NodeHost.java
+++ b/lab/src/main/java/thistlefall/lab/model/NodeHost.java
@@ -23,8 +23,8 @@
 final class NodeHost implements Ports.Actions, Peer {
     /** Whoever waits for an answer. */
     interface Client {
-        /** The final answer, an HTTP status; called when it is written, at the node. */
-        void answer(int status);
+        /** The final answer, an HTTP status and the advice on when to come again, 0 for none; called when it is written, at the node. */
+        void answer(int status, long advice);
 
         /** The process died first. */
         void died();
@@ -238,7 +238,7 @@
         open.put(request.id(), of);
         soon(Math.max(0, span - LAST_MOMENT), () -> {
             if (!of.answered) {
-                answer(of, FAILED);
+                answer(of, FAILED, 0);
                 gone(request.id());
             }
         });
@@ -262,9 +262,9 @@
         settle(open.get(id));
     }
 
-    private void answer(Open of, int status) {
+    private void answer(Open of, int status, long advice) {
         of.answered = true;
-        of.client.answer(status);
+        of.client.answer(status, advice);
     }
 
     private void settle(Open of) {
@@ -347,7 +347,7 @@
         attempt.over = true;
         of.attempt = null;
         if (outcome == Outcome.OK && !of.answered) {
-            answer(of, OK);
+            answer(of, OK, 0);
         }
         gateway.attemptEnded(timeline.now(), new Result(of.request.id(), outcome, timeline.now() - attempt.sentAt,
             attempt.server.party().name(), of.answered, of.attempts - 1, 0, List.of()));
@@ -356,17 +356,17 @@
 
     @Override
     public void refuse(String id, long retryAfter) {
-        decline(id, REFUSED);
+        decline(id, REFUSED, retryAfter);
     }
 
     @Override
     public void fail(String id) {
-        decline(id, FAILED);
+        decline(id, FAILED, 0);
     }
 
-    private void decline(String id, int status) {
+    private void decline(String id, int status, long advice) {
         Open of = open.get(id);
-        answer(of, status);
+        answer(of, status, advice);
         settle(of);
     }
 
--- a/lab/src/main/java/thistlefall/lab/scenario/Play.java
+++ b/lab/src/main/java/thistlefall/lab/scenario/Play.java
@@ -23,6 +23,7 @@
 import thistlefall.lab.judge.Event;
 import thistlefall.lab.load.Arrival;
 import thistlefall.lab.load.Clients;
+import thistlefall.lab.load.Retries;
 import thistlefall.lab.net.Conditions;
 import thistlefall.lab.net.Party;
 import thistlefall.lab.net.Selector;
@@ -79,13 +80,14 @@
         long begun;
         EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try (Fleet started = new Fleet(topology, deploy, folder, new Fleet.Terms(scenario.servers().terms(),
-            scenario.counter().terms(), scenario.told(), works::get), this, scenario.seed())) {
+            scenario.counter().terms(), scenario.told(),
+            id -> works.getOrDefault(Retries.request(id), 1L)), this, scenario.seed())) {
             fleet = started;
             fleet.start(topology.nodes());
             ready();
             progress.accept(topology.nodes().size() + " nodes are ready, " + arrivals.size() + " requests follow");
             Clients clients = new Clients(loops.next(), topology.nodes().stream().map(Party::name).toList(),
-                node -> fleet.door(topology.nodes().get(node)), scenario.classes(), scenario.plans(), scenario.notice(), history::add);
+                node -> fleet.door(topology.nodes().get(node)), scenario.classes(), scenario.plans(), scenario.retries(), scenario.notice(), history::add);
             begun = System.nanoTime();
             CompletableFuture<Void> done = clients.play(arrivals);
             for (Script.Step step : Script.of(scenario, this)) {
--- a/lab/src/main/java/thistlefall/lab/scenario/Result.java
+++ b/lab/src/main/java/thistlefall/lab/scenario/Result.java
@@ -15,6 +15,7 @@
 import thistlefall.lab.load.Arrival;
 import thistlefall.lab.load.Arrivals;
 import thistlefall.lab.load.RequestClass;
+import thistlefall.lab.load.Retries;
 import thistlefall.lab.net.Party;
 
 /**
@@ -25,10 +26,11 @@
  * @param goodput the share of the worth asked for that was answered within its aim, 0 to 1
  * @param possible the most that the capacity of the archive servers that ran allowed, 0 to 1 (edge nodes left out)
  * @param served answered with 200
- * @param refused answered with 429 or 503
+ * @param refused answered with 429 or 503 at the last
  * @param failed with any other answer, none, or no connection
  * @param p50Ms median time of a served request, in milliseconds
  * @param p99Ms its 99th percentile
+ * @param tries how often edge nodes were asked, clients' retries with them
  * @param attempts attempts that reached an archive server
  * @param fell archive servers that were pushed over
  * @param pressure the most of what any archive server may be sent while cold that it was sent, as a share; above 1 it fell over
@@ -37,7 +39,7 @@
  * @param findings the broken rules
  */
 public record Result(String scenario, long seed, String arrivals, int asked, double goodput, double possible, int served, int refused, int failed,
-                     double p50Ms, double p99Ms, long attempts, int fell, double pressure, Recovery recovery, List<Mark> marks, List<Second> seconds,
+                     double p50Ms, double p99Ms, int tries, long attempts, int fell, double pressure, Recovery recovery, List<Mark> marks, List<Second> seconds,
                      List<Finding> findings) {
     private static final double MS = 1e6, SECOND = 1e9;
     private static final long MOST = 60_000_000_000L;
@@ -72,13 +74,14 @@
         }
         Map<String, Long> askedAt = new HashMap<>();
         Map<String, Event.Answered> answers = new HashMap<>();
-        int attempts = 0, fell = 0;
+        int tries = 0, attempts = 0, fell = 0;
         double pressure = 0;
         for (Event event : history.stream().sorted(Comparator.comparingLong(Event::at)).toList()) {
             if (event instanceof Event.Asked asked) {
-                askedAt.putIfAbsent(asked.id(), asked.at());
+                askedAt.putIfAbsent(Retries.request(asked.id()), asked.at());
+                tries++;
             } else if (event instanceof Event.Answered answered) {
-                answers.putIfAbsent(answered.id(), answered);
+                answers.merge(Retries.request(answered.id()), answered, (first, next) -> first.status() == OK ? first : next);
             } else if (event instanceof Event.Sent sent) {
                 attempts++;
                 int at = (int) ((sent.at() - begun) / SECOND);
@@ -126,6 +129,6 @@
         return new Result(scenario.name(), scenario.seed(), Arrivals.digest(arrivals), arrivals.size(), worth == 0 ? 0 : good / worth,
             worth == 0 ? 0 : possible / worth,
             served, refused, arrivals.size() - served - refused, times.getValueAtPercentile(50) / MS,
-            times.getValueAtPercentile(99) / MS, attempts, fell, pressure, recovery, Script.marks(scenario), all, Judge.judge(scenario.rules(), history, end));
+            times.getValueAtPercentile(99) / MS, tries, attempts, fell, pressure, recovery, Script.marks(scenario), all, Judge.judge(scenario.rules(), history, end));
     }
 }
--- a/lab/src/main/java/thistlefall/lab/scenario/Scenario.java
+++ b/lab/src/main/java/thistlefall/lab/scenario/Scenario.java
@@ -23,6 +23,7 @@
 import thistlefall.lab.load.Arrivals;
 import thistlefall.lab.load.Plan;
 import thistlefall.lab.load.RequestClass;
+import thistlefall.lab.load.Retries;
 import thistlefall.lab.net.Conditions;
 import thistlefall.lab.net.Party;
 import thistlefall.lab.net.Selector;
@@ -107,7 +108,7 @@
     }
 
     /** What is asked. */
-    public record Traffic(double shiftS, double skew, double noticeS, List<Kind> classes, List<Customers> plans) {
+    public record Traffic(double shiftS, double skew, double noticeS, List<Kind> classes, List<Customers> plans, Again retries) {
         /** Checks its ranges; the message names the figure. */
         public Traffic {
             check(shiftS > 0, "shift-s is not above 0");
@@ -118,6 +119,14 @@
         }
     }
 
+    /** How clients ask again; left out, they don't. */
+    public record Again(int most, double afterS, boolean heed) {
+        /** Checks its ranges; the message names the figure. */
+        public Again {
+            new Retries(most, (long) (afterS * SECOND), heed);
+        }
+    }
+
     /** A class of requests. */
     public record Kind(String name, double share, boolean keyed, double aimS, double deadlineS, double workMs, double worth) {
         /** Checks its ranges; the message names the figure. */
@@ -281,6 +290,12 @@
         return new Load(classes(), plans(), servers.terms().keyLife());
     }
 
+    /** How clients ask again. */
+    public Retries retries() {
+        Again of = load.retries();
+        return of == null ? Retries.NONE : new Retries(of.most(), (long) (of.afterS() * SECOND), of.heed());
+    }
+
     /** From its first refusal until the front takes a dead node out, in nanoseconds. */
     public long notice() {
         return (long) (load.noticeS() * SECOND);
--- a/lab/src/test/java/thistlefall/lab/model/ModelTest.java
+++ b/lab/src/test/java/thistlefall/lab/model/ModelTest.java
@@ -71,6 +71,19 @@
         }
     }
 
+    /** No metastable state: the load is what it was, and so is goodput some seconds after the last mend. */
+    @Test
+    void clientsThatComeAgainAtOnceDoNotKeepTheFleetDown() throws Exception {
+        for (long seed = 1; seed <= 3; seed++) {
+            Result storm = play("retry-storm", seed);
+            assertTrue(storm.tries() > 1.05 * storm.asked(), "nobody came again: " + storm.tries());
+            assertTrue(storm.recovery().toNineTenths() >= 0 && storm.recovery().toNineTenths() <= 6, "seed " + seed + ": " + storm.recovery());
+            Result dark = play("retry-power-loss", seed);
+            assertEquals(0, dark.fell(), "seed " + seed);
+            assertTrue(dark.recovery().toNineTenths() >= 0 && dark.recovery().toNineTenths() <= 20, "seed " + seed + ": " + dark.recovery());
+        }
+    }
+
     @Test
     void powerThatFailsThreeTimesIsBorneAsOne() throws Exception {
         for (long seed = 1; seed <= 3; seed++) {
