Zones out by hand: what another process wrote goes before a zone on its way back

Cause: zonesStillOut left a zone alone that it knew already, also one that was coming back; the other process of an upgrade, told zone-out meanwhile, was not followed. Change: whatever is not out is put out. Result: a test of the module that failed before; the line in the log speaks of what is out by hand, servers or zones.

--- a/edge/src/main/java/thistlefall/Gateway.java
+++ b/edge/src/main/java/thistlefall/Gateway.java
@@ -167,7 +167,8 @@
         now = at;
         zones.keySet().stream().filter(zone -> !out.contains(zone)).toList()
             .forEach(zone -> leaveZone(at, zone, false, cfg.rules().coldSpan()));
-        out.forEach(zone -> zones.putIfAbsent(zone, new ByHand(true, now, 1)));
+        out.stream().filter(zone -> zoneShare(zone) > 0)
+            .forEach(zone -> zones.put(zone, new ByHand(true, now, 1)));
         relist();
     }
 
--- a/edge/src/main/java/thistlefall/node/LeftOut.java
+++ b/edge/src/main/java/thistlefall/node/LeftOut.java
@@ -40,7 +40,7 @@
             read.forEach(id -> ids.add(id.asText()));
             return ids;
         } catch (IOException | RuntimeException e) {
-            EdgeNode.trouble("the file of servers out by hand is passed over", e);
+            EdgeNode.trouble("a file of what is out by hand is passed over", e);
             return null;
         }
     }
--- a/edge/src/test/java/thistlefall/RulesTest.java
+++ b/edge/src/test/java/thistlefall/RulesTest.java
@@ -319,6 +319,8 @@
         assertEquals(Set.of(), host.gateway.zonesOut());
         host.now += 1;
         assertTrue(host.gateway.zone(0).share() > 0 && host.gateway.zone(0).share() < 0.01);
+        host.gateway.zonesStillOut(host.now, Set.of(0));
+        assertEquals(0, host.gateway.zone(0).share(), "out again on its way back");
     }
 
     private void servedBy(String server, int requests) {
