--- a/edge/src/main/java/thistlefall/node/WarmUp.java
+++ b/edge/src/main/java/thistlefall/node/WarmUp.java
@@ -20,11 +20,8 @@
  * go through an edge node of their own, on connections in memory: nothing listens, connects or leaves the process.
  */
 final class WarmUp {
-    /**
-     * Enough that what all requests pass through is compiled; more pays for code that a start does not need. Each code
-     * is compiled after some 1,000 runs (`run` sets five times the usual), and most is run several times a request.
-     */
-    private static final int REQUESTS = 200, ROUND = 20;
+    /** Code is compiled after some 200 runs, and not all of it is run for each request. */
+    private static final int REQUESTS = 2_000, ROUND = 20;
     private static final String BODY = "x".repeat(512);
     /** On a small part of a core all of them take too long for a node that others are waiting for. */
     private static final long MOST = TimeUnit.MILLISECONDS.toNanos(3_000);
