Pass an answer on by what has come of it, not by what it promises

Cause: an answer that promised more than 64 kB was passed on with its first bytes, and no deadline binds it from there on. A server that promises and stops left its client with a head and no end for 8 s: no final answer in its time. Lines to blame: length > MOST_BODY in ServerPool.piece.

Change: passed on when more than 64 kB have come, or when there is no room to hold it; until then the attempt's time-out holds.

Result: a test (1,000,000 bytes promised, 3 sent) that read 200 and no end before reads a 5xx in its time now; tests of long bodies pass.

--- a/edge/src/main/java/thistlefall/node/ServerPool.java
+++ b/edge/src/main/java/thistlefall/node/ServerPool.java
@@ -448,7 +448,9 @@
             }
             held.writeBytes(bytes);
             boolean room = holding.hold(held.capacity());
-            if (held.isReadable() && (!room || length > MOST_BODY || held.readableBytes() > MOST_BODY)) {
+            // Not by the length that it promises: a spoilt answer may promise what never comes, and from here on no
+            // deadline binds it.
+            if (held.isReadable() && (!room || held.readableBytes() > MOST_BODY)) {
                 passOn(length);
             }
         }
--- a/edge/src/test/java/thistlefall/node/LongBodyTest.java
+++ b/edge/src/test/java/thistlefall/node/LongBodyTest.java
@@ -142,6 +142,22 @@
     }
 
     /** What is begun can't be replaced: its client has to see that it is not whole. */
+    /** A spoilt answer may promise what never comes: its client has a final answer in its time, and no part of it. */
+    @Test
+    void anAnswerThatPromisesMoreThanItSendsIsNotPassedOn() throws Exception {
+        String at = server(socket -> {
+            head(socket.getInputStream());
+            say(socket.getOutputStream(), "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\nabc");
+            socket.getInputStream().read();
+        });
+        EdgeNode node = start(config(member("s-0", at, "Ready", 0)));
+        Socket client = client(node);
+        client.setSoTimeout(5_500);
+        write(client, "POST /api?slot=4", headers("t-1", "order", "5000"), "book");
+        String head = head(client.getInputStream());
+        assertTrue(head.startsWith("HTTP/1.1 5"), head);
+    }
+
     @Test
     void aLongAnswerThatBreaksEndsTheConnectionShort() throws Exception {
         String at = server(socket -> {
