One reading of the settings' tree for the program and the model

Need: Model.flatten was Config.flatten written again: the model would go on by the old reading if the program's changed. Change: SettingsPairs turns the tree into the pairs that SettingsReader reads; both call it. Behaviour as it was. Result: tests of the configuration, operators and the model pass unchanged.

--- a/edge/src/main/java/thistlefall/node/Config.java
+++ b/edge/src/main/java/thistlefall/node/Config.java
@@ -7,7 +7,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -78,8 +77,7 @@
         } catch (JsonProcessingException e) {
             throw new Invalid("the configuration is not JSON: " + e.getOriginalMessage().replace('\n', ' '));
         }
-        Map<String, String> pairs = new HashMap<>();
-        flatten("settings", present(root, "settings"), pairs);
+        Map<String, String> pairs = SettingsPairs.of(present(root, "settings"));
         List<String> required = new ArrayList<>(List.of("my-number", "siblings", "my-zone", "tick-ns",
             "caps.max-attempts", "caps.max-open", "caps.connect-timeout-ns", "caps.keepalive-ns",
             "domain.count-wait-ns", "rules.answer-slack-ns", "rules.cold-from", "rules.ramp-time-ns",
@@ -207,28 +205,6 @@
         return new Roll(node.get("revision").asLong(), node.path("complete").asBoolean(false), members);
     }
 
-    private static void flatten(String path, JsonNode node, Map<String, String> into) {
-        String key = path.startsWith("settings.") ? path.substring("settings.".length()) : path;
-        if (node.isObject()) {
-            for (Map.Entry<String, JsonNode> field : node.properties()) {
-                flatten(path + "." + field.getKey(), field.getValue(), into);
-            }
-        } else if (node.isArray()) {
-            into.put(key + ".count", Integer.toString(node.size()));
-            List<String> plain = new ArrayList<>();
-            for (int i = 0; i < node.size(); i++) {
-                if (node.get(i).isValueNode()) {
-                    plain.add(node.get(i).asText());
-                } else {
-                    flatten(path + "." + i, node.get(i), into);
-                }
-            }
-            into.put(key, String.join(",", plain));
-        } else if (!node.isNull()) {
-            into.put(key, node.asText());
-        }
-    }
-
     private static double number(Map<String, String> pairs, String key) throws Invalid {
         try {
             double value = Double.parseDouble(pairs.get(key));
--- a/lab/src/main/java/thistlefall/lab/model/Model.java
+++ b/lab/src/main/java/thistlefall/lab/model/Model.java
@@ -1,6 +1,5 @@
 package thistlefall.lab.model;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -11,6 +10,7 @@
 import java.util.function.Consumer;
 import thistlefall.Ports.Readiness;
 import thistlefall.Ports.Server;
+import thistlefall.Ports.Settings;
 import thistlefall.SettingsReader;
 import thistlefall.lab.fleet.NodeConfig;
 import thistlefall.lab.fleet.Topology;
@@ -28,6 +28,7 @@
 import thistlefall.lab.scenario.Script;
 import thistlefall.lab.scenario.ServerFaults;
 import thistlefall.lab.scenario.Stage;
+import thistlefall.node.SettingsPairs;
 
 /**
  * One play of a scenario on a clock of its own: the program's module in each node, the lab's stand-ins around them. The
@@ -64,11 +65,10 @@
         Map<String, Long> works = new HashMap<>();
         scenario.arrivals().forEach(one -> works.put(one.id(), one.work()));
         for (Party node : topology.nodes()) {
-            Map<String, String> pairs = new HashMap<>();
-            flatten("", NodeConfig.settings(topology, scenario.told(), node), pairs);
-            nodes.add(new NodeHost(node, new NodeHost.Surroundings(timeline, network, SettingsReader.read(pairs), this::list, servers,
-                counter, id -> works.get(Retries.request(id)), this::told, (who, text) -> log.accept(String.format("%.3f s %s: %s", (timeline.now() - START - SETTLE) / 1e9,
-                    who.name(), text))), chance.split()));
+            Settings settings = SettingsReader.read(SettingsPairs.of(NodeConfig.settings(topology, scenario.told(), node)));
+            nodes.add(new NodeHost(node, new NodeHost.Surroundings(timeline, network, settings, this::list, servers, counter,
+                id -> works.get(Retries.request(id)), this::told, (who, text) -> log.accept(String.format("%.3f s %s: %s",
+                    (timeline.now() - START - SETTLE) / 1e9, who.name(), text))), chance.split()));
         }
     }
 
@@ -236,24 +236,4 @@
     public void end(Scenario.CounterTrouble what) {
         counter.on(core -> CounterFaults.end(what, core, now()));
     }
-
-    /** As the program reads its configuration: a list of objects has its length under {@code .count}. */
-    private static void flatten(String path, JsonNode node, Map<String, String> into) {
-        if (node.isObject()) {
-            node.properties().forEach(field -> flatten(path.isEmpty() ? field.getKey() : path + "." + field.getKey(), field.getValue(), into));
-        } else if (node.isArray()) {
-            into.put(path + ".count", Integer.toString(node.size()));
-            List<String> plain = new ArrayList<>();
-            for (int i = 0; i < node.size(); i++) {
-                if (node.get(i).isValueNode()) {
-                    plain.add(node.get(i).asText());
-                } else {
-                    flatten(path + "." + i, node.get(i), into);
-                }
-            }
-            into.put(path, String.join(",", plain));
-        } else {
-            into.put(path, node.asText());
-        }
-    }
 }
