Lab: clients on sockets and in the model ask by one piece of code

Need: a try's id, edge node, deadline and pause stood twice, in Clients and in ClientsHost; a change of one would have made the model untrue without a word. Change: Asking and its Ask hold them, without I/O; Clients and ClientsHost only carry bytes and times. Behaviour as it was.

--- a/lab/src/main/java/thistlefall/lab/load/Clients.java
+++ b/lab/src/main/java/thistlefall/lab/load/Clients.java
@@ -29,26 +29,21 @@
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
 import thistlefall.lab.judge.Event;
+import thistlefall.lab.load.Asking.Ask;
 
 /**
- * Sends arrivals to edge nodes through the {@link Front} (protocol, Clients to edge nodes), all on one event loop. A
- * connection carries one request at a time; a client leaves when its time is up, and comes again as {@link Retries} say.
+ * Sends arrivals to edge nodes as {@link Asking} says (protocol, Clients to edge nodes), all on one event loop. A
+ * connection carries one request at a time; a client leaves when its time is up, and comes again if it may.
  */
 public final class Clients {
     private static final long MS = 1_000_000L;
     private static final double SECOND = 1e9;
     private static final int MOST_BODY = 1 << 16, CONNECT_MS = 1_000, HEALTH_MS = 100, OK = 200;
-    /** So long after its time a client still looks for the answer, to tell one that is late from none. */
-    private static final long LINGER = 500 * MS;
     private static final String HEALTH = "/_health";
 
     private final EventLoop loop;
-    private final List<String> nodes;
     private final IntFunction<InetSocketAddress> door;
-    private final List<RequestClass> classes;
-    private final List<Plan> plans;
-    private final Front front;
-    private final Retries retries;
+    private final Asking asking;
     private final Consumer<Event> history;
     private final List<ArrayDeque<Channel>> idle = new ArrayList<>();
     private final CompletableFuture<Void> done = new CompletableFuture<>();
@@ -62,17 +57,14 @@
      * @param door where the front reaches a node, by number; asked for each connection
      * @param history hears what was asked and answered, on the loop
      */
-    public Clients(EventLoop loop, List<String> nodes, IntFunction<InetSocketAddress> door, List<RequestClass> classes,
-                   List<Plan> plans, Retries retries, long notice, Consumer<Event> history) {
-        this.retries = retries;
+    public Clients(EventLoop loop, IntFunction<InetSocketAddress> door, Asking asking, Consumer<Event> history) {
         this.loop = loop;
-        this.nodes = nodes;
         this.door = door;
-        this.classes = classes;
-        this.plans = plans;
+        this.asking = asking;
         this.history = history;
-        front = new Front(nodes.size(), notice);
-        nodes.forEach(node -> idle.add(new ArrayDeque<>()));
+        for (int i = 0; i < asking.nodes(); i++) {
+            idle.add(new ArrayDeque<>());
+        }
     }
 
     /** Sends all at their times from now on; completes when each has ended. */
@@ -90,7 +82,7 @@
         long now = System.nanoTime() - begun;
         while (next < arrivals.size() && arrivals.get(next).at() <= now) {
             open++;
-            new Try(arrivals.get(next++), 0, 0).start();
+            new Try(asking.first(arrivals.get(next++), System.nanoTime())).start();
         }
         if (next < arrivals.size()) {
             loop.schedule(this::send, arrivals.get(next).at() - now, TimeUnit.NANOSECONDS);
@@ -100,8 +92,8 @@
     }
 
     private void askHealth() {
-        for (int i = 0; i < nodes.size(); i++) {
-            if (front.doubted(i)) {
+        for (int i = 0; i < asking.nodes(); i++) {
+            if (asking.front().doubted(i)) {
                 int node = i;
                 connect(node, new Health(node));
             }
@@ -154,7 +146,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
             if (answer.status().code() == OK) {
-                front.healthy(node);
+                asking.front().healthy(node);
             }
             context.close();
         }
@@ -205,23 +197,14 @@
 
     /** One request on its way. */
     private final class Try {
-        private final Arrival of;
-        private final String id;
-        private final int number, spread, node;
-        private final boolean keyed;
+        private final Ask ask;
+        private final int node;
         private Channel on;
-        private long deadline;
-        private boolean reused, asked, over;
+        private boolean reused, over;
 
-        /** {@code until} is the first try's deadline; 0 for the first one itself. */
-        Try(Arrival of, int number, long until) {
-            this.of = of;
-            this.number = number;
-            id = Retries.id(of.id(), number);
-            deadline = until;
-            spread = Math.min(plans.get(of.plan()).spread(), nodes.size());
-            node = front.pick(System.nanoTime(), of, spread);
-            keyed = classes.get(of.requestClass()).keyed();
+        Try(Ask ask) {
+            this.ask = ask;
+            node = ask.node();
         }
 
         void start() {
@@ -240,10 +223,10 @@
                 if (made.isSuccess()) {
                     write(made.channel());
                 } else {
-                    front.refused(System.nanoTime(), node);
-                    if (asked) {
+                    asking.front().refused(System.nanoTime(), node);
+                    if (ask.asked()) {
                         // Written once to a connection that was closed already, and nobody is there now.
-                        history.accept(new Event.Left(System.nanoTime(), id));
+                        history.accept(new Event.Left(System.nanoTime(), ask.id()));
                     }
                     again(0);
                     end();
@@ -254,26 +237,25 @@
         private void write(Channel to) {
             on = to;
             long now = System.nanoTime();
-            if (!asked) {
-                asked = true;
-                deadline = deadline == 0 ? now + of.deadline() : deadline;
-                loop.schedule(this::leave, deadline - now + LINGER, TimeUnit.NANOSECONDS);
+            if (ask.write(now)) {
+                loop.schedule(this::leave, ask.deadline() - now + Asking.LINGER, TimeUnit.NANOSECONDS);
             }
+            boolean keyed = ask.requestClass().keyed();
             DefaultFullHttpRequest request = request(keyed ? HttpMethod.POST : HttpMethod.GET, "/api");
-            request.headers().set("X-Trace-Id", id).set("X-Qos", classes.get(of.requestClass()).name())
-                .set("X-Plan", plans.get(of.plan()).name())
-                .set("Cookie", String.format(Locale.ROOT, "customer=%016x", of.customer()))
-                .set("X-Expires-In-Ms", Math.max(1, (deadline - now) / MS))
-                .set("X-Quota", "units=1,spread=" + spread + ",first=" + of.first());
+            request.headers().set("X-Trace-Id", ask.id()).set("X-Qos", ask.requestClass().name())
+                .set("X-Plan", ask.plan().name())
+                .set("Cookie", String.format(Locale.ROOT, "customer=%016x", ask.of().customer()))
+                .set("X-Expires-In-Ms", Math.max(1, (ask.deadline() - now) / MS))
+                .set("X-Quota", "units=1,spread=" + ask.spread() + ",first=" + ask.of().first());
             if (keyed) {
-                request.headers().set("Idempotency-Key", "k" + of.id());
+                request.headers().set("Idempotency-Key", "k" + ask.of().id());
             }
-            history.accept(new Event.Asked(now, id, nodes.get(node), of.customer(), of.plan(), of.requestClass(), deadline));
+            history.accept(ask.event(now));
             to.writeAndFlush(request);
         }
 
         void answered(int status, long advice) {
-            history.accept(new Event.Answered(System.nanoTime(), id, status));
+            history.accept(new Event.Answered(System.nanoTime(), ask.id(), status));
             if (status != OK) {
                 again(advice);
             }
@@ -282,12 +264,10 @@
 
         /** Asks again after a pause, if it may. */
         private void again(long advice) {
-            long left = deadline == 0 ? of.deadline() : deadline - System.nanoTime();
-            long pause = over ? -1 : retries.pause(of.id(), number + 1, advice, left);
+            long pause = over ? -1 : ask.pause(System.nanoTime(), advice);
             if (pause >= 0) {
                 open++;
-                long until = System.nanoTime() + left;
-                loop.schedule(() -> new Try(of, number + 1, until).start(), pause, TimeUnit.NANOSECONDS);
+                loop.schedule(() -> new Try(ask.again(System.nanoTime())).start(), pause, TimeUnit.NANOSECONDS);
             }
         }
 
@@ -299,7 +279,7 @@
                 return;
             }
             if (!over) {
-                history.accept(new Event.Broken(System.nanoTime(), id));
+                history.accept(new Event.Broken(System.nanoTime(), ask.id()));
                 again(0);
             }
             end();
@@ -307,7 +287,7 @@
 
         private void leave() {
             if (!over) {
-                history.accept(new Event.Left(System.nanoTime(), id));
+                history.accept(new Event.Left(System.nanoTime(), ask.id()));
                 end();
                 if (on != null) {
                     on.close();
--- a/lab/src/main/java/thistlefall/lab/model/Model.java
+++ b/lab/src/main/java/thistlefall/lab/model/Model.java
@@ -82,8 +82,7 @@
         timeline.run(START + SETTLE);
         List<Arrival> arrivals = scenario.arrivals();
         long begun = timeline.now();
-        new ClientsHost(timeline, network, topology.front(), nodes, scenario.classes(), scenario.plans(),
-            scenario.retries(), scenario.notice(), history::add).play(arrivals);
+        new ClientsHost(timeline, network, topology.front(), nodes, scenario.asking(), history::add).play(arrivals);
         for (Script.Step step : Script.of(scenario, this)) {
             timeline.run(begun + step.at());
             step.change().make();
--- a/lab/src/main/java/thistlefall/lab/scenario/Play.java
+++ b/lab/src/main/java/thistlefall/lab/scenario/Play.java
@@ -86,8 +86,7 @@
             fleet.start(topology.nodes());
             ready();
             progress.accept(topology.nodes().size() + " nodes are ready, " + arrivals.size() + " requests follow");
-            Clients clients = new Clients(loops.next(), topology.nodes().stream().map(Party::name).toList(),
-                node -> fleet.door(topology.nodes().get(node)), scenario.classes(), scenario.plans(), scenario.retries(), scenario.notice(), history::add);
+            Clients clients = new Clients(loops.next(), node -> fleet.door(topology.nodes().get(node)), scenario.asking(), history::add);
             begun = System.nanoTime();
             CompletableFuture<Void> done = clients.play(arrivals);
             for (Script.Step step : Script.of(scenario, this)) {
--- a/lab/src/main/java/thistlefall/lab/scenario/Scenario.java
+++ b/lab/src/main/java/thistlefall/lab/scenario/Scenario.java
@@ -21,6 +21,7 @@
 import thistlefall.lab.judge.Terms;
 import thistlefall.lab.load.Arrival;
 import thistlefall.lab.load.Arrivals;
+import thistlefall.lab.load.Asking;
 import thistlefall.lab.load.Plan;
 import thistlefall.lab.load.RequestClass;
 import thistlefall.lab.load.Retries;
@@ -290,15 +291,12 @@
         return new Load(classes(), plans(), servers.terms().keyLife());
     }
 
-    /** How clients ask again. */
-    public Retries retries() {
-        Again of = load.retries();
-        return of == null ? Retries.NONE : new Retries(of.most(), (long) (of.afterS() * SECOND), of.heed());
-    }
-
-    /** From its first refusal until the front takes a dead node out, in nanoseconds. */
-    public long notice() {
-        return (long) (load.noticeS() * SECOND);
+    /** How clients ask. */
+    public Asking asking() {
+        Again again = load.retries();
+        Retries retries = again == null ? Retries.NONE : new Retries(again.most(), (long) (again.afterS() * SECOND), again.heed());
+        return new Asking(topology.topology().nodes().stream().map(Party::name).toList(), classes(), plans(), retries,
+            (long) (load.noticeS() * SECOND));
     }
 
     /** All requests, as its seed draws them. */
