Lab: one way for faults both ways, ends of servers and assertions; sort and draw once

Need: Fleet and Model each kept a second fault named "... back"; Play and Model wrote the end of a server's life alike; Run and ModelRuns printed the same assertion; a model drew its arrivals twice and a result sorted its history twice; ArchiveServerPort.drain had no caller. Change: Faults knows both ways, Stage writes a life's end, Run judges the assertion, the rest is done once or gone. Behaviour as it was.

--- a/lab/src/main/java/thistlefall/lab/cli/ModelRuns.java
+++ b/lab/src/main/java/thistlefall/lab/cli/ModelRuns.java
@@ -5,7 +5,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -59,10 +58,7 @@
                 System.out.println("RULE BROKEN by seed " + result.seed() + ", " + result.findings().size() + " times, first " + first.rule() + ": "
                     + first.id() + " " + first.node() + " " + first.text());
             }
-            boolean enough = summary.leastGoodput() >= scenario.least();
-            if (!enough) {
-                System.out.printf(Locale.ROOT, "ASSERTION FAILED goodput %.3f, at least %.3f wanted%n", summary.leastGoodput(), scenario.least());
-            }
+            boolean enough = Run.enough(summary.leastGoodput(), scenario);
             return summary.broken().isEmpty() && enough ? 0 : 1;
         } catch (Scenario.Invalid | IOException e) {
             System.err.println(file + ": " + e.getMessage());
--- a/lab/src/main/java/thistlefall/lab/cli/Run.java
+++ b/lab/src/main/java/thistlefall/lab/cli/Run.java
@@ -51,10 +51,7 @@
             for (Finding finding : result.findings()) {
                 System.out.println("RULE BROKEN " + finding.rule() + ": " + finding.id() + " " + finding.node() + " " + finding.text());
             }
-            boolean enough = result.goodput() >= scenario.least();
-            if (!enough) {
-                System.out.printf(Locale.ROOT, "ASSERTION FAILED goodput %.3f, at least %.3f wanted%n", result.goodput(), scenario.least());
-            }
+            boolean enough = enough(result.goodput(), scenario);
             System.out.println(folder.resolve(PAGE));
             return result.findings().isEmpty() && enough ? 0 : 1;
         } catch (Scenario.Invalid | IOException e) {
@@ -63,6 +60,15 @@
         }
     }
 
+    /** Whether the scenario's assertion holds; says so if not. */
+    static boolean enough(double goodput, Scenario scenario) {
+        boolean enough = goodput >= scenario.least();
+        if (!enough) {
+            System.out.printf(Locale.ROOT, "ASSERTION FAILED goodput %.3f, at least %.3f wanted%n", goodput, scenario.least());
+        }
+        return enough;
+    }
+
     /** A play's folder gets its result, for programs and for people. */
     static void write(Result result, Path folder) throws IOException {
         new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT).writeValue(folder.resolve(RESULT).toFile(), result);
--- a/lab/src/main/java/thistlefall/lab/fleet/Fleet.java
+++ b/lab/src/main/java/thistlefall/lab/fleet/Fleet.java
@@ -322,17 +322,13 @@
 
     /** From now on the way between these is so, in the one direction or in both. */
     public void fault(String name, Selector from, Selector to, boolean both, Conditions conditions) throws IOException {
-        faults.set(name, from, to, conditions);
-        if (both) {
-            faults.set(name + " back", to, from, conditions);
-        }
+        faults.set(name, from, to, both, conditions);
         changed();
     }
 
     /** Ends a fault. */
     public void clear(String name) throws IOException {
         faults.clear(name);
-        faults.clear(name + " back");
         changed();
     }
 
--- a/lab/src/main/java/thistlefall/lab/model/Model.java
+++ b/lab/src/main/java/thistlefall/lab/model/Model.java
@@ -43,6 +43,7 @@
     private static final double CORES = 4;
 
     private final Scenario scenario;
+    private final List<Arrival> arrivals;
     private final Topology topology;
     private final Timeline timeline = new Timeline(START);
     private final Faults faults = new Faults();
@@ -55,6 +56,7 @@
 
     private Model(Scenario scenario, Consumer<String> log) throws IOException {
         this.scenario = scenario;
+        arrivals = scenario.arrivals();
         topology = scenario.topology().topology();
         chance = new SplittableRandom(scenario.seed());
         network = new Network(timeline, faults, chance.split());
@@ -63,7 +65,7 @@
         }
         counter = new CounterHost(timeline, topology.counter(), scenario.counter().terms());
         Map<String, Long> works = new HashMap<>();
-        scenario.arrivals().forEach(one -> works.put(one.id(), one.work()));
+        arrivals.forEach(one -> works.put(one.id(), one.work()));
         for (Party node : topology.nodes()) {
             Settings settings = SettingsReader.read(SettingsPairs.of(NodeConfig.settings(topology, scenario.told(), node)));
             nodes.add(new NodeHost(node, new NodeHost.Surroundings(timeline, network, settings, this::list, servers, counter,
@@ -80,7 +82,6 @@
     private Result play() throws IOException, InterruptedException {
         nodes.forEach(NodeHost::start);
         timeline.run(START + SETTLE);
-        List<Arrival> arrivals = scenario.arrivals();
         long begun = timeline.now();
         new ClientsHost(timeline, network, topology.front(), nodes, scenario.asking(), history::add).play(arrivals);
         for (Script.Step step : Script.of(scenario, this)) {
@@ -99,12 +100,8 @@
         server.kill();
     }
 
-    /** What there is to say of a server's life at its end. */
     private void last(ServerHost server) {
-        history.add(new Event.Pressed(now(), server.party().name(), server.pressure()));
-        if (server.fellAt() <= now()) {
-            history.add(new Event.Fell(server.fellAt(), server.party().name()));
-        }
+        lived(server.party(), server.pressure(), server.fellAt());
     }
 
     private List<Server> list() {
@@ -129,16 +126,12 @@
 
     @Override
     public void fault(String name, Selector from, Selector to, boolean both, Conditions conditions) {
-        faults.set(name, from, to, conditions);
-        if (both) {
-            faults.set(name + " back", to, from, conditions);
-        }
+        faults.set(name, from, to, both, conditions);
     }
 
     @Override
     public void clear(String name) {
         faults.clear(name);
-        faults.clear(name + " back");
     }
 
     @Override
--- a/lab/src/main/java/thistlefall/lab/net/Faults.java
+++ b/lab/src/main/java/thistlefall/lab/net/Faults.java
@@ -8,15 +8,15 @@
  * changes them, any reads.
  */
 public final class Faults {
-    private record Fault(Selector from, Selector to, Conditions conditions) {
+    private record Fault(Selector from, Selector to, boolean both, Conditions conditions) {
     }
 
     private volatile Map<String, Fault> on = Map.of();
 
-    /** From now on the way from these to those is so; a fault of the same name ends. */
-    public void set(String name, Selector from, Selector to, Conditions conditions) {
+    /** From now on the way from these to those, and back if {@code both}, is so; a fault of the same name ends. */
+    public void set(String name, Selector from, Selector to, boolean both, Conditions conditions) {
         Map<String, Fault> next = new LinkedHashMap<>(on);
-        next.put(name, new Fault(from, to, conditions));
+        next.put(name, new Fault(from, to, both, conditions));
         on = next;
     }
 
@@ -35,6 +35,9 @@
             if (fault.from.matches(from) && fault.to.matches(to)) {
                 all = all.and(fault.conditions);
             }
+            if (fault.both && fault.from.matches(to) && fault.to.matches(from)) {
+                all = all.and(fault.conditions);
+            }
         }
         return all;
     }
--- a/lab/src/main/java/thistlefall/lab/scenario/Capacity.java
+++ b/lab/src/main/java/thistlefall/lab/scenario/Capacity.java
@@ -25,13 +25,13 @@
     private final ServerTerms terms;
     private final List<Life> lives = new ArrayList<>();
 
-    /** All servers run warm until the history says else. */
+    /** All servers run warm until the history, in the order of its times, says else. */
     Capacity(Scenario scenario, List<Event> history) {
         terms = scenario.servers().terms();
         Map<String, Life> running = new HashMap<>();
         scenario.topology().topology().servers().forEach(server -> running.put(server.name(),
             new Life(Long.MIN_VALUE, Long.MAX_VALUE, Long.MIN_VALUE)));
-        for (Event event : history.stream().sorted(Comparator.comparingLong(Event::at)).toList()) {
+        for (Event event : history) {
             if (event instanceof Event.Died died && running.containsKey(died.server())) {
                 Life life = running.remove(died.server());
                 lives.add(new Life(life.from, died.at(), life.warmFrom));
--- a/lab/src/main/java/thistlefall/lab/scenario/Play.java
+++ b/lab/src/main/java/thistlefall/lab/scenario/Play.java
@@ -174,12 +174,8 @@
         fleet.kill(server);
     }
 
-    /** What there is to say of a server's life at its end. */
     private void last(Party server) {
-        history.add(new Event.Pressed(System.nanoTime(), server.name(), fleet.pressure(server)));
-        if (fleet.fellAt(server) != Long.MAX_VALUE) {
-            history.add(new Event.Fell(fleet.fellAt(server), server.name()));
-        }
+        lived(server, fleet.pressure(server), fleet.fellAt(server));
     }
 
     @Override
--- a/lab/src/main/java/thistlefall/lab/scenario/Result.java
+++ b/lab/src/main/java/thistlefall/lab/scenario/Result.java
@@ -76,7 +76,8 @@
         Map<String, Event.Answered> answers = new HashMap<>();
         int tries = 0, attempts = 0, fell = 0;
         double pressure = 0;
-        for (Event event : history.stream().sorted(Comparator.comparingLong(Event::at)).toList()) {
+        List<Event> inOrder = history.stream().sorted(Comparator.comparingLong(Event::at)).toList();
+        for (Event event : inOrder) {
             if (event instanceof Event.Asked asked) {
                 askedAt.putIfAbsent(Retries.request(asked.id()), asked.at());
                 tries++;
@@ -96,8 +97,8 @@
             }
         }
         Histogram times = new Histogram(MOST, DIGITS);
+        List<RequestClass> classes = scenario.classes();
         for (Arrival one : arrivals) {
-            RequestClass kind = scenario.load().classes().get(one.requestClass()).requestClass();
             Sum in = seconds.get((int) (one.at() / SECOND));
             double its = Capacity.worth(scenario, one);
             in.arrivals.add(one);
@@ -108,14 +109,14 @@
                 times.recordValue(Math.min(took, MOST));
                 in.times.recordValue(Math.min(took, MOST));
                 in.served++;
-                in.good += took <= kind.aim() ? its : 0;
+                in.good += took <= classes.get(one.requestClass()).aim() ? its : 0;
             } else if (answer != null && (answer.status() == TOO_MANY || answer.status() == UNAVAILABLE)) {
                 in.refused++;
             }
         }
         double worth = seconds.stream().mapToDouble(one -> one.worth).sum(), good = seconds.stream().mapToDouble(one -> one.good).sum();
         int served = seconds.stream().mapToInt(one -> one.served).sum(), refused = seconds.stream().mapToInt(one -> one.refused).sum();
-        Capacity capacity = new Capacity(scenario, history);
+        Capacity capacity = new Capacity(scenario, inOrder);
         List<Second> all = new ArrayList<>();
         for (int i = 0; i < seconds.size(); i++) {
             long from = begun + (long) (i * SECOND);
--- a/lab/src/main/java/thistlefall/lab/scenario/Stage.java
+++ b/lab/src/main/java/thistlefall/lab/scenario/Stage.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import thistlefall.lab.judge.Event;
 import thistlefall.lab.net.Conditions;
+import thistlefall.lab.net.Party;
 import thistlefall.lab.net.Selector;
 
 /** What a scenario's faults act on: real processes, or a model of them. */
@@ -13,6 +14,19 @@
     /** Writes something into the history that the judge reads. */
     void seen(Event event);
 
+    /**
+     * Writes down what there is to say of an archive server's life at its end.
+     *
+     * @param pressure the most of what it may be sent while cold that it was sent, as a share
+     * @param fellAt when it was pushed over; {@link Long#MAX_VALUE} if it was not
+     */
+    default void lived(Party server, double pressure, long fellAt) {
+        seen(new Event.Pressed(now(), server.name(), pressure));
+        if (fellAt != Long.MAX_VALUE) {
+            seen(new Event.Fell(fellAt, server.name()));
+        }
+    }
+
     /** From now on the way between these is so, in the one direction or in both. */
     void fault(String name, Selector from, Selector to, boolean both, Conditions conditions) throws IOException;
 
--- a/lab/src/main/java/thistlefall/lab/stand/http/ArchiveServerPort.java
+++ b/lab/src/main/java/thistlefall/lab/stand/http/ArchiveServerPort.java
@@ -48,11 +48,6 @@
         carry(() -> what.accept(core));
     }
 
-    /** Takes no new work from now on. */
-    public void drain() {
-        carry(core::drain);
-    }
-
     /** When it was pushed over, in nanoseconds of the JVM's clock; {@link Long#MAX_VALUE} if it was not. */
     public long fellAt() {
         long[] at = new long[1];
--- a/lab/src/test/java/thistlefall/lab/net/WaysTest.java
+++ b/lab/src/test/java/thistlefall/lab/net/WaysTest.java
@@ -108,9 +108,9 @@
         Party n1 = new Party("n1", "a", "north", Party.Role.NODE);
         Party s1 = new Party("s1", "b", "north", Party.Role.SERVER), s2 = new Party("s2", "c", "south", Party.Role.SERVER);
         Faults faults = new Faults();
-        faults.set("cut", Selector.parse("zone:b"), Selector.parse("!zone:b"), Conditions.CUT);
-        faults.set("slow", Selector.parse("*"), Selector.parse("region:south"), new Conditions(false, 0.5, 0, 5, 1, 900));
-        faults.set("far", Selector.parse("node:n1"), Selector.parse("!region:north"), new Conditions(false, 0.5, 0, 7, 0, 100));
+        faults.set("cut", Selector.parse("zone:b"), Selector.parse("!zone:b"), false, Conditions.CUT);
+        faults.set("slow", Selector.parse("*"), Selector.parse("region:south"), false, new Conditions(false, 0.5, 0, 5, 1, 900));
+        faults.set("far", Selector.parse("node:n1"), Selector.parse("!region:north"), false, new Conditions(false, 0.5, 0, 7, 0, 100));
         assertTrue(faults.between(s1, n1).cut());
         assertFalse(faults.between(n1, s1).cut());
         assertFalse(faults.between(s1, s1).cut());
@@ -119,6 +119,8 @@
         assertTrue(faults.clear("cut"));
         assertFalse(faults.clear("cut"));
         assertEquals(Conditions.GOOD, faults.between(s1, n1));
+        faults.set("both", Selector.parse("node:n1"), Selector.parse("node:s1"), true, Conditions.CUT);
+        assertTrue(faults.between(n1, s1).cut() && faults.between(s1, n1).cut() && !faults.between(s1, s2).cut());
         assertTrue(Selector.parse("servers/!zone:c").matches(s1));
         assertFalse(Selector.parse("servers/!zone:c").matches(s2));
         assertFalse(Selector.parse("servers/!zone:c").matches(n1));
