Lab: a link that refuses has stopped listening when the change returns

Cause: Door.be closed its Netty listener and returned; the JDK ends a listening socket that a selector holds only at that selector's next turn (ServerSocketChannelImpl), so until then the kernel goes on taking connections, which end in a reset. Excluded: the killed process (its end is waited for), a pooled connection of the client's (a new socket shows it too). Lines to blame: Door.be after listening.close(). Change: be(REFUSES) returns when the address can be bound again, as the other changes did already.

--- a/lab/src/main/java/thistlefall/lab/net/Door.java
+++ b/lab/src/main/java/thistlefall/lab/net/Door.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.BindException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 
 /** A listening address whose manners change: it takes connections, refuses them, or lets none come up. */
 final class Door implements AutoCloseable {
@@ -16,8 +17,8 @@
     enum State { TAKES, REFUSES, SILENT }
 
     private static final int LINE = 1_024;
-    /** A selector gives a closed listener's address free only at its next turn. */
-    private static final int TRIES = 200, BETWEEN_MS = 5;
+    /** A selector ends a closed listener only at its next turn; until then the kernel goes on taking connections. */
+    private static final int TRIES = 2_000, BETWEEN_MS = 5;
 
     private final ServerBootstrap bootstrap;
     private InetSocketAddress at;
@@ -56,7 +57,7 @@
             deaf = null;
         }
         state = State.REFUSES;
-        for (int left = TRIES; next != State.REFUSES && !bind(next, left == 1); left--) {
+        for (int left = TRIES; !(next == State.REFUSES ? free(left == 1) : bind(next, left == 1)); left--) {
             try {
                 Thread.sleep(BETWEEN_MS);
             } catch (InterruptedException e) {
@@ -89,6 +90,20 @@
         }
     }
 
+    /** Whether nobody listens there any more; somebody who still does is an error only the {@code last} time. */
+    private boolean free(boolean last) throws IOException {
+        try (Socket probe = new Socket()) {
+            probe.setReuseAddress(true);
+            probe.bind(at);
+            return true;
+        } catch (BindException e) {
+            if (last) {
+                throw new IOException("still listening at " + at, e);
+            }
+            return false;
+        }
+    }
+
     @Override
     public void close() throws IOException {
         be(State.REFUSES);
