Leave a zone that does not answer as a fleet, and come back by trials and a ramp

Need: each node judged each server alone, learned late by some tens of requests a second, and came back all at once; operators ask for leaving and returning as a fleet first of all. Change: the module keeps evidence for each zone and follows courses of its part of the work (Ports: zoneEvidence, zoneCourse, tryZone); agreement is a plain class (node.zones) with the shared counter as its carrier: one vote a node and window, a majority of all nodes, trials by few nodes, a ramp that untold cold servers bear, holds that double with relapses, a panic threshold. Off unless the configuration has an object `zones`. The lab plays it on processes and in the model (`zones:` in a scenario). Without the object the module draws and decides as before.

--- a/edge/src/main/java/thistlefall/Gateway.java
+++ b/edge/src/main/java/thistlefall/Gateway.java
@@ -30,7 +30,8 @@
     /** Actuation penalties (the level's loop is the slower), and the least part of each: no class starves. */
     private static final double Q_SHARE = 0.3, Q_LEVEL = 0.7, MIN_SHARE = 0.02, MIN_LEVEL = 0.25;
     /** Weight of an answer in a server's averages; memory, in seconds, of these and of the others' use. */
-    private static final double ALPHA = 0.12, ALPHA_ERR = 0.2, FORGIVE_S = 4, OTHERS_S = 3;
+    private static final double ALPHA = 0.12, ALPHA_ERR = 0.2, FORGIVE_S = 4, OTHERS_S = 3,
+        TALLY_S = 5;
     /** How many times what cold servers took in the last seconds they may take where none is warm. */
     private static final double GROWTH = 4;
     /** A server of which this part fails counts as avoided. */
@@ -38,7 +39,7 @@
     /** How many servers each of as many gateways as servers looks at for a request; two are the least. */
     private static final int LOOK = 3;
     /** Further attempts per first one, how many may be saved up; the usual spans that a first one needs. */
-    private static final double RETRY_RATIO = 0.2, RETRY_MOST = 20, MARGIN = 1.5, PATIENCE = 6;
+    private static final double RETRY_RATIO = 0.2, RETRY_MOST = 20, MARGIN = 1.5, PATIENCE = 6, LATE = 3;
 
     /** The values of a load report that tell how busy a server is; their life in seconds; how many stay. */
     private static final Set<String> LOADS = Set.of("waiting", "active", "cpu");
@@ -53,11 +54,13 @@
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<Long, Customer> customers = new LinkedHashMap<>();
     private final Map<String, Backend> servers = new LinkedHashMap<>();
-    private List<Backend> listed = List.of();
+    private List<Backend> listed = List.of(), allowed = List.of();
     /** Servers that operators keep out, whatever the list says. */
     private final Set<String> leftOut = new HashSet<>();
-    /** Zones that operators keep out, or have back bit by bit. */
-    private final Map<Integer, ByHand> zones = new TreeMap<>();
+    /** Zones that operators keep out, or have back bit by bit; the same by verdict; those to be tried. */
+    private final Map<Integer, Course> zones = new TreeMap<>(), verdicts = new TreeMap<>();
+    private final Set<Integer> trials = new TreeSet<>();
+    private final Map<Integer, Tally> tallies = new TreeMap<>();
     private final Map<Integer, Double> kindLatency = new HashMap<>(), zoneErrors = new HashMap<>();
     private final Backend[] lastHeard = new Backend[RECENT];
     private final Lane[] lanes;
@@ -113,9 +116,11 @@
     private void relist() {
         for (Backend b : servers.values()) {
             b.ready = b.named && b.entry.readiness() == Readiness.READY && !leftOut.contains(b.id)
-                && zoneShare(b.entry.zone()) > 0;
+                && handShare(b.entry.zone()) > 0;
         }
-        listed = servers.values().stream().filter(b -> b.ready).toList();
+        // A zone out by verdict leaves the operator's limit as it is: the level's loop sees the rest.
+        allowed = servers.values().stream().filter(b -> b.ready).toList();
+        listed = allowed.stream().filter(b -> zoneShare(b.entry.zone()) > 0).toList();
         control.boundLevel();
         dispatch();
     }
@@ -149,15 +154,12 @@
         servers.put(old.id, fresh);
     }
 
-    /** A zone by hand: out, or back since then with a part that grows over {@code ramp}. */
-    private record ByHand(boolean out, long since, long ramp) { }
-
     @Override public boolean leaveZone(long at, int zone, boolean out, long ramp) {
         now = at;
-        boolean was = zones.containsKey(zone) && zones.get(zone).out();
+        boolean was = zones.containsKey(zone) && zones.get(zone).to() == 0;
         if (out && listed.stream().allMatch(b -> in(zone, b))) { return false; }
         if (out == was) { return true; }
-        zones.put(zone, new ByHand(out, now, Math.max(1, ramp)));
+        zones.put(zone, new Course(0, out ? 0 : 1, now, Math.max(1, ramp)));
         if (!out) { servers.values().stream().filter(b -> in(zone, b)).toList().forEach(this::beginAnew); }
         relist();
         return true;
@@ -167,30 +169,94 @@
         now = at;
         zones.keySet().stream().filter(zone -> !out.contains(zone)).toList()
             .forEach(zone -> leaveZone(at, zone, false, cfg.rules().coldSpan()));
-        out.stream().filter(zone -> zoneShare(zone) > 0)
-            .forEach(zone -> zones.put(zone, new ByHand(true, now, 1)));
+        out.stream().filter(zone -> !zonesOut().contains(zone))
+            .forEach(zone -> zones.put(zone, new Course(0, 0, now, 1)));
+        relist();
+    }
+
+    @Override public void zoneCourse(long at, int zone, Course course) {
+        now = at;
+        if (course == null) { verdicts.remove(zone); } else { verdicts.put(zone, course); }
+        trials.remove(zone);
         relist();
     }
 
+    @Override public void tryZone(long at, int zone) {
+        now = at;
+        trials.add(zone);
+    }
+
     private static boolean in(int zone, Backend b) { return b.entry.zone() == zone; }
 
+    /** Operators go before verdicts until what they had back is back. */
     private double zoneShare(int zone) {
-        ByHand hand = zones.get(zone);
-        if (hand == null || hand.out()) { return hand == null ? 1 : 0; }
-        return Math.min(1, (now - hand.since() + 1) / (double) hand.ramp());
+        double share = handShare(zone);
+        return share < 1 || !verdicts.containsKey(zone) ? share : verdicts.get(zone).share(now);
+    }
+
+    private double handShare(int zone) { return zones.containsKey(zone) ? zones.get(zone).share(now) : 1; }
+
+    /** What attempts in a zone came to, fading, and ever. */
+    private final class Tally {
+        private double ended, missed, excess;
+        private long at = now, attempts, misses, answered = born;
+
+        void fade() {
+            double kept = Math.exp(-(now - at) * NANO);
+            ended *= kept;
+            missed *= kept;
+            // For longer: whoever avoids bad servers meets few misses more.
+            excess *= Math.pow(kept, 1 / TALLY_S);
+            at = now;
+        }
+
+        void add(boolean miss, boolean silent) {
+            fade();
+            ended++;
+            attempts++;
+            missed += miss ? 1 : 0;
+            misses += miss ? 1 : 0;
+            // A zone that errs is still there.
+            excess = Math.max(0, excess + (silent ? 1 : miss ? 0.5 : -1));
+            answered = silent ? answered : now;
+        }
+    }
+
+    /** What attempts met in each zone that has servers on the list. */
+    public List<ZoneEvidence> zoneEvidence(long at) {
+        now = at;
+        List<Backend> all = servers.values().stream().filter(b -> b.named && b.entry.zone() >= 0).toList();
+        return all.stream().map(b -> b.entry.zone()).distinct().sorted().map(zone -> {
+            Tally tally = tallies.computeIfAbsent(zone, key -> new Tally());
+            tally.fade();
+            List<Backend> its = all.stream().filter(b -> in(zone, b)).toList();
+            // What is out for far too long is missed already: silence must not be waited for to its end.
+            long late = its.stream().mapToLong(b -> b.late(tally.answered)).sum();
+            List<Backend> heard = its.stream()
+                .filter(b -> now - b.heard < FORGIVE_S * SECOND || b.late(tally.answered) > 0).toList();
+            List<Backend> mute = heard.stream().filter(b -> b.silent || b.late(tally.answered) > 0).toList();
+            int bad = (int) heard.stream().filter(b -> b.missed || mute.contains(b)).count();
+            int cold = (int) its.stream().filter(Backend::cold).count();
+            double share = its.size() / (double) all.size();
+            return new ZoneEvidence(zone, tally.ended + late, tally.missed + late, tally.excess + late,
+                its.size(), heard.size(), bad, mute.size(), cold, share, tally.attempts, tally.misses,
+                tally.answered);
+        }).toList();
     }
 
     /** How a zone stands now, as of the last event. */
     public ZoneState zone(int zone) {
         List<Backend> its = servers.values().stream().filter(b -> b.named && in(zone, b)).toList();
         int usable = (int) its.stream().filter(b -> b.ready).count();
-        long since = zones.containsKey(zone) ? zones.get(zone).since() : 0;
-        return new ZoneState(zoneShare(zone), since, its.size(), usable);
+        Course course = zones.getOrDefault(zone, verdicts.get(zone));
+        long since = course == null ? 0 : course.since();
+        boolean byHand = zones.containsKey(zone) && (handShare(zone) < 1 || !verdicts.containsKey(zone));
+        return new ZoneState(zoneShare(zone), since, its.size(), usable, byHand);
     }
 
     /** The zones that operators keep out. */
     public Set<Integer> zonesOut() {
-        return zones.keySet().stream().filter(zone -> zones.get(zone).out()).collect(Collectors.toSet());
+        return zones.keySet().stream().filter(zone -> zones.get(zone).to() == 0).collect(Collectors.toSet());
     }
 
     @Override public Handover handOver(long at) {
@@ -837,8 +903,8 @@
         void boundLevel() {
             double before = limit;
             // What a cold server cannot do yet waits here, where worth decides, not in its line.
-            able = Math.max(MIN_LEVEL, listed.stream().mapToDouble(b -> b.cold() ? b.warmth() : 1).sum());
-            warm = listed.stream().filter(b -> !b.cold()).count();
+            able = Math.max(MIN_LEVEL, allowed.stream().mapToDouble(b -> b.cold() ? b.warmth() : 1).sum());
+            warm = allowed.stream().filter(b -> !b.cold()).count();
             double part = Math.max(MIN_LEVEL, OPEN_PER_SERVER * able / cfg.siblings());
             limit = part > 1 ? Math.rint(part) : part;
             level = levelModel.updates == 0 || level >= before ? limit : Math.min(level, limit);
@@ -973,7 +1039,7 @@
     private final class Backend {
         private final String id;
         private Server entry;
-        private boolean named, ready, shunned;
+        private boolean named, ready, shunned, missed, silent;
         private final LinkedHashSet<Job> outstanding = new LinkedHashSet<>();
         private double latency, errors, load;
         private long heard = now, coldAt = now, reported = born, coldSince;
@@ -1019,11 +1085,20 @@
             return entry.zone() == cfg.zone() ? s : s * 1.05;
         }
 
+        /** How many attempts sent since then are out for so long that most would have been answered. */
+        long late(long since) {
+            return outstanding.stream()
+                .filter(job -> job.sentAt > since && now - job.sentAt > LATE * job.cost() * SECOND).count();
+        }
+
         void ended(Job job, Result result) {
             outstanding.remove(job);
             Outcome o = result.outcome();
             if (o == Outcome.CANCELLED || o == Outcome.NOT_SENT) { return; }
             boolean good = o == Outcome.OK;
+            missed = !good && o != Outcome.FULL;
+            silent = missed && o != Outcome.ERROR;
+            tallies.computeIfAbsent(entry.zone(), zone -> new Tally()).add(missed, silent);
             // A fast failure must not look fast.
             double ratio = Math.min(20, result.took() * NANO / job.cost());
             ratio = good ? ratio : Math.max(3, ratio);
@@ -1058,10 +1133,11 @@
     private Backend choose(Job job) {
         RequestClass spec = job.lane.spec;
         boolean bound = job.mayHaveRunSince > 0 && spec.repeat() == Repeat.KEYED && spec.group() != Group.ALL;
-        Backend best = null;
+        Backend best = job.attempts == 0 && spec.repeat() == Repeat.SAFE ? trial() : null;
+        if (best != null) { return best; }
         double bestScore = Double.MAX_VALUE;
         // Drawn once for all servers of a zone that comes back: by each anew it would get more than its part.
-        double luck = zones.isEmpty() ? 0 : random.nextDouble();
+        double luck = zones.isEmpty() && verdicts.isEmpty() ? 0 : random.nextDouble();
         for (Backend b : candidates(job, bound)) {
             // Gateways that know as little as each other must not all take the first of a list.
             double score = b.score() * (1 + 0.1 * random.nextDouble());
@@ -1073,6 +1149,14 @@
         return best;
     }
 
+    /** A server of a zone that is out and to be tried; null if there is none. */
+    private Backend trial() {
+        int zone = trials.isEmpty() ? -1 : trials.iterator().next();
+        trials.remove(zone);
+        List<Backend> its = allowed.stream().filter(b -> in(zone, b)).toList();
+        return its.isEmpty() ? null : its.get(random.nextInt(its.size()));
+    }
+
     /** By chance: a cold server's part of a warm one's work, from however many gateways, and no burst. */
     private boolean coldRoom(Backend b, Job job) {
         double work = control.warmWork() * b.warmth() * (now - b.coldAt) * NANO;
--- a/edge/src/main/java/thistlefall/Ports.java
+++ b/edge/src/main/java/thistlefall/Ports.java
@@ -220,8 +220,43 @@
      * @param since when that began; 0 for always
      * @param listed its servers on the list
      * @param usable those that may be sent to
+     * @param byHand whether operators decided that
      */
-    public record ZoneState(double share, long since, int listed, int usable) {
+    public record ZoneState(double share, long since, int listed, int usable, boolean byHand) {
+    }
+
+    /**
+     * How a zone's part of the work changes, evenly.
+     *
+     * @param from the part at {@code since}, 0 to 1
+     * @param to the part from the end of {@code span} on, 0 to 1
+     */
+    public record Course(double from, double to, long since, long span) {
+        /** The part at a moment that is not before its begin. */
+        public double share(long now) {
+            return from + (to - from) * Math.min(1, (now - since + 1) / (double) span);
+        }
+    }
+
+    /**
+     * What a gateway's attempts met in a zone. Turned away for want of room is not missed: a load too high is no zone's fault.
+     *
+     * @param ended attempts that ended, fading over a second
+     * @param missed those of them that met an error, no answer in time, no connection or a broken one
+     * @param excess by how much misses outweigh answers since they last did not, an error by half, fading over 5 s (Page's cumulative
+     *     sum, 1954); what is out for far too long, with no answer of the zone since, counts as missed
+     * @param servers its servers on the list
+     * @param heard those at which an attempt ended in the last seconds, or that are new
+     * @param bad those of them whose last attempt missed
+     * @param silent those of them that did not answer it at all
+     * @param cold those of its servers that are cold as far as is told
+     * @param share its part of all servers on the list
+     * @param attempts all that ever ended
+     * @param misses all that ever missed
+     * @param answered when anything was last answered, if only by an error
+     */
+    public record ZoneEvidence(int zone, double ended, double missed, double excess, int servers, int heard, int bad, int silent, int cold,
+                               double share, long attempts, long misses, long answered) {
     }
 
     /** What the host calls, in the order in which things happen. */
@@ -280,6 +315,12 @@
         /** The zones that were out by hand before this start: exactly these are out now. */
         void zonesStillOut(long now, Set<Integer> zones);
 
+        /** From now on a zone's part of the work is so, unless operators say otherwise; null: as ever. */
+        void zoneCourse(long now, int zone, Course course);
+
+        /** The next request that may be repeated freely is sent to a zone that is out by its course. */
+        void tryZone(long now, int zone);
+
         /** Another gateway goes on in this one's place; this one still answers what it has and little more. */
         Handover handOver(long now);
 
--- a/edge/src/main/java/thistlefall/node/Config.java
+++ b/edge/src/main/java/thistlefall/node/Config.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import thistlefall.Ports.Readiness;
@@ -16,6 +17,7 @@
 import thistlefall.SettingsReader;
 import thistlefall.node.connections.Limits;
 import thistlefall.node.connections.Tls;
+import thistlefall.node.zones.ZoneSettings;
 
 /**
  * What an edge node is told at its start.
@@ -25,13 +27,14 @@
  * @param sockets how many descriptors the process may hold
  * @param connections bounds on connections, so far as they are set
  * @param tls how clients' connections are secured; null if they are not
+ * @param zones how zones are left and come back by verdict; null if they are not
  * @param known the list of app servers as last had before this start
  * @param connectTimeout span after which a connection counts as not made
  * @param keepAlive span after which an app server closes an idle connection
  * @param names the names that stand for the settings' indices
  */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress counter,
-              InetSocketAddress ops, long seed, int sockets, Limits connections, Tls.Settings tls, Roll known, long connectTimeout,
+              InetSocketAddress ops, long seed, int sockets, Limits connections, Tls.Settings tls, ZoneSettings zones, Roll known, long connectTimeout,
               long keepAlive, Names names, Settings settings) {
 
     private static final int HANDSHAKES = 8;
@@ -116,7 +119,7 @@
             counted ? address(root, "counter") : null, root.hasNonNull("ops") ? address(root, "ops") : null,
             seed(present(root, "seed")),
             root.path("limits").path("sockets").asInt(1024), connections(root.path("connections")),
-            tls(root.path("tls")),
+            tls(root.path("tls")), zones(root.path("zones")),
             root.hasNonNull("known") ? roll(root.get("known"), names) : new Roll(0, true, List.of()),
             (long) number(pairs, "caps.connect-timeout-ns"), (long) number(pairs, "caps.keepalive-ns"),
             names, read);
@@ -149,6 +152,20 @@
             handshakes == 0 ? HANDSHAKES : handshakes);
     }
 
+    private static ZoneSettings zones(JsonNode node) throws Invalid {
+        if (node.isMissingNode()) {
+            return null;
+        }
+        own(node, "zones", Set.of("verdicts", "most-out-percent", "alone-after-ms"));
+        String verdicts = node.path("verdicts").asText();
+        if (!List.of("alone", "counter").contains(verdicts)) {
+            throw new Invalid("zones.verdicts is not alone or counter: " + node.path("verdicts"));
+        }
+        int most = whole(node, "zones", "most-out-percent", 1, 90), after = whole(node, "zones", "alone-after-ms", 500, 60_000);
+        return new ZoneSettings(ZoneSettings.Verdicts.valueOf(verdicts.toUpperCase(Locale.ROOT)),
+            most == 0 ? ZoneSettings.MOST_OUT : most / 100.0, after == 0 ? ZoneSettings.ALONE_AFTER : after * 1_000_000L);
+    }
+
     /** An object of this project's own: what it does not know may be a slip, and is told. */
     private static void own(JsonNode node, String name, Set<String> keys) throws Invalid {
         if (!node.isObject()) {
--- a/edge/src/main/java/thistlefall/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/node/EdgeNode.java
@@ -29,6 +29,8 @@
 import thistlefall.node.connections.Budget;
 import thistlefall.node.connections.Counts;
 import thistlefall.node.connections.HeldBytes;
+import thistlefall.node.zones.ZoneVerdict;
+import thistlefall.node.zones.ZoneVerdicts;
 
 /**
  * A real edge node: carries what happens on the sockets to the decision module and its actions back. All of it
@@ -44,6 +46,8 @@
     /** How often the servers' figures and what another process wrote are looked at. */
     private static final long LOOK = 200 * MS;
     private static final long POLL_MS = 5;
+    /** Discovery says at least a line each 2 s. */
+    private static final long HEARD_MS = 2_500;
     /** For how long a successor waits for what the other process knows. */
     private static final long HANDOVER_MS = 10_000;
 
@@ -66,6 +70,8 @@
     private Config config;
     private volatile Budget budget;
     private Gateway gateway;
+    /** Null where zones are left by hand alone. */
+    private ZoneVerdicts verdicts;
     private volatile boolean admitted, taking;
     private boolean inside;
 
@@ -128,6 +134,10 @@
             list(config.known(), ListKind.CACHED);
             look();
             loop.scheduleAtFixedRate(this::look, LOOK, LOOK, TimeUnit.NANOSECONDS);
+            if (config.zones() != null) {
+                verdicts = new ZoneVerdicts(config.zones(), config.settings(), config.names().zones(), config.seed(), now(), gateway, this);
+                loop.scheduleAtFixedRate(() -> event(null, now -> verdicts.tick(now, figures.discoverySilence() < HEARD_MS)), ZoneVerdicts.TICK, ZoneVerdicts.TICK, TimeUnit.NANOSECONDS);
+            }
         }).get();
     }
 
@@ -155,6 +165,9 @@
         Handover told = loop.submit(() -> {
             boolean succeeded = slots.otherTakes();
             slots.take(false);
+            if (verdicts != null) {
+                verdicts.abstain();
+            }
             clients.stop(done, succeeded);
             return succeeded ? gateway.handOver(now()) : null;
         }).get();
@@ -220,9 +233,15 @@
             long now = now();
             for (int i = 0; i < config.names().zones().size() && gateway != null; i++) {
                 Ports.ZoneState zone = gateway.zone(i);
+                ZoneVerdict verdict = verdicts == null || zone.byHand() ? null : verdicts.verdict(i);
+                String state = zone.share() == 0 ? "out" : zone.share() < 1 ? "returning" : "in";
                 text.append(String.format(Locale.ROOT, "%s state=%s share=%.2f servers=%d usable=%d", config.names().zones().get(i),
-                    zone.share() == 0 ? "out" : zone.share() < 1 ? "returning" : "in", zone.share(), zone.listed(), zone.usable()));
-                text.append(zone.since() == 0 ? "" : " since_s=" + TimeUnit.NANOSECONDS.toSeconds(now - zone.since()) + " why=hand").append('\n');
+                    verdict == null ? state : verdict.state().name().toLowerCase(Locale.ROOT), zone.share(), zone.listed(), zone.usable()));
+                long since = verdict == null ? zone.since() : verdict.since();
+                text.append(since == 0 ? "" : " since_s=" + TimeUnit.NANOSECONDS.toSeconds(now - since));
+                text.append(zone.byHand() ? " why=hand" : verdict == null || verdict.why() == ZoneVerdict.Why.NONE ? "" : " why="
+                    + verdict.why().name().toLowerCase(Locale.ROOT) + " witnesses=" + verdict.witnesses() + " relapses=" + verdict.relapses());
+                text.append('\n');
             }
             return text.toString();
         });
@@ -278,6 +297,9 @@
 
     private void tell() {
         figures.servers(pool.listed(), gateway.avoided().size());
+        if (verdicts != null) {
+            figures.zones(verdicts.agreement().zonesAway(), verdicts.agreement().calls(), verdicts.agreement().trials());
+        }
     }
 
     @Override
@@ -469,7 +491,14 @@
     }
 
     private void counted(long name, Outcome outcome, double total) {
-        event(null, now -> gateway.counted(now, name, outcome, total));
+        boolean ballot = verdicts != null && ZoneVerdicts.owns(name);
+        event(null, now -> {
+            if (ballot) {
+                verdicts.counted(now, name, outcome, total);
+            } else {
+                gateway.counted(now, name, outcome, total);
+            }
+        });
     }
 
     /** Forgets a request once it is answered and no attempt of it is out. */
--- a/edge/src/main/java/thistlefall/node/Figures.java
+++ b/edge/src/main/java/thistlefall/node/Figures.java
@@ -14,6 +14,7 @@
     enum Ending { PASSED, DROPPED, BAD_GATEWAY }
 
     private static final int ENDINGS = Ending.values().length;
+    private static final String[] ZONES = {"zones.away", "zones.calls", "zones.trials"};
     private final List<String> classes;
     private final AtomicLongArray ended;
     private final AtomicLong tries = new AtomicLong();
@@ -24,6 +25,8 @@
     private volatile long discoveryAt = System.nanoTime();
     /** Written on the loop alone. */
     private volatile long standstill, wordWait;
+    /** Zones away, calls about zones, trials; null where zones are left by hand alone. */
+    private volatile long[] zones;
 
     Figures(List<String> classes, Counts connections) {
         this.classes = classes;
@@ -54,6 +57,11 @@
         skipped.set(avoided);
     }
 
+    /** How many zones are out or on their way by verdict, calls to the counter about zones, requests sent to try one. */
+    void zones(long away, long calls, long trials) {
+        zones = new long[] {away, calls, trials};
+    }
+
     /** A line of discovery came, or the first one is waited for from now on. */
     void discoveryHeard() {
         discoveryAt = System.nanoTime();
@@ -96,6 +104,10 @@
         line(text, "discovery.silent_ms", discoverySilence());
         line(text, "discovery.longest_wait_ms", TimeUnit.NANOSECONDS.toMillis(wordWait));
         line(text, "loop.longest_standstill_ms", TimeUnit.NANOSECONDS.toMillis(standstill));
+        long[] byVerdict = zones;
+        for (int i = 0; byVerdict != null && i < byVerdict.length; i++) {
+            line(text, ZONES[i], byVerdict[i]);
+        }
         connections.tell((name, value) -> line(text, "connections." + name, value));
         return text.toString();
     }
--- a/edge/src/main/java/thistlefall/node/WarmUp.java
+++ b/edge/src/main/java/thistlefall/node/WarmUp.java
@@ -69,7 +69,7 @@
             .map(e -> new Server(e.id(), e.size(), e.zone(), e.cell(), e.kind(), Readiness.READY, 0))
             .map(e -> new Config.Member(e, real.listen())).toList();
         return new Config(real.listen(), real.discovery(), null, null, real.seed(), real.sockets(),
-            real.connections(), null, new Config.Roll(0, true, members), real.connectTimeout(), real.keepAlive(), real.names(), settings);
+            real.connections(), null, null, new Config.Roll(0, true, members), real.connectTimeout(), real.keepAlive(), real.names(), settings);
     }
 
     private void connect() {
--- a/edge/src/test/java/thistlefall/RulesTest.java
+++ b/edge/src/test/java/thistlefall/RulesTest.java
@@ -10,6 +10,7 @@
 import static thistlefall.Host.SAFE;
 import static thistlefall.Host.UNSAFE;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
@@ -18,11 +19,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import thistlefall.Ports.Course;
 import thistlefall.Ports.ListKind;
 import thistlefall.Ports.Outcome;
 import thistlefall.Ports.Plan;
 import thistlefall.Ports.Readiness;
 import thistlefall.Ports.Server;
+import thistlefall.Ports.ZoneEvidence;
 import thistlefall.Ports.ZoneState;
 
 /** The five rules at their edges. */
@@ -295,7 +298,7 @@
         host.gateway.list(host.now, ListKind.FULL, List.of(new Server("a", 1, 0, 0, 0, Readiness.READY, host.now),
             new Server("b", 1, 1, 1, 0, Readiness.READY, 0)));
         servedBy("b", 20);
-        assertEquals(new ZoneState(0, host.gateway.zone(0).since(), 1, 0), host.gateway.zone(0));
+        assertEquals(new ZoneState(0, host.gateway.zone(0).since(), 1, 0, true), host.gateway.zone(0));
         assertTrue(host.gateway.leaveZone(host.now, 0, false, 40_000 * MS));
         assertTrue(host.gateway.leaveZone(host.now, 0, false, 1), "once more changes nothing");
         int[] back = new int[3];
@@ -323,6 +326,89 @@
         assertEquals(0, host.gateway.zone(0).share(), "out again on its way back");
     }
 
+    /** A verdict's course is followed; operators go before it, and what they had back is its again. */
+    @Test
+    void aZoneOutByVerdictIsOutAndOperatorsGoBeforeIt() {
+        host.servers(2);
+        host.gateway.zoneCourse(host.now, 0, new Course(0, 0, host.now, 1));
+        servedBy("b", 20);
+        assertEquals(new ZoneState(0, host.now - 400 * MS, 1, 1, false), host.gateway.zone(0));
+        assertFalse(host.gateway.leaveZone(host.now, 1, true, 0), "nothing would be left");
+        host.server("c", 2, Readiness.READY, 0);
+        assertTrue(host.gateway.leaveZone(host.now, 1, true, 0));
+        host.gateway.zoneCourse(host.now, 1, new Course(0.5, 1, host.now, 1_000 * MS));
+        servedBy("c", 5);
+        assertTrue(host.gateway.leaveZone(host.now, 1, false, 1));
+        host.now += 10 * MS;
+        host.gateway.zoneCourse(host.now, 1, new Course(0.5, 1, host.now, 1_000 * MS));
+        assertEquals(0.5, host.gateway.zone(1).share(), 0.01, "its return by hand is over, the verdict counts");
+        host.gateway.zoneCourse(host.now, 0, null);
+        assertEquals(1, host.gateway.zone(0).share());
+    }
+
+    /** One request for each trial, and only one that may be repeated freely. */
+    @Test
+    void aTrialIsOneRequestThatMayBeRepeated() {
+        host.servers(2);
+        host.gateway.zoneCourse(host.now, 0, new Course(0, 0, host.now, 1));
+        host.gateway.tryZone(host.now, 0);
+        for (int requestClass : List.of(UNSAFE, KEYED_CELL)) {
+            String id = host.request(requestClass, 1);
+            assertEquals("b", host.attempts(id).get(0).server());
+            host.end(id, Outcome.OK);
+        }
+        String trial = host.request(SAFE, 1);
+        assertEquals("a", host.attempts(trial).get(0).server());
+        host.end(trial, Outcome.TIMEOUT);
+        assertEquals("b", host.attempts(trial).get(1).server(), "its second attempt is no trial");
+        host.end(trial, Outcome.OK);
+        servedBy("b", 5);
+        host.gateway.tryZone(host.now, 0);
+        host.gateway.leaveZone(host.now, 0, true, 0);
+        servedBy("b", 1);
+    }
+
+    /** What tells a zone that fails from one server that does, from silence and from a load too high. */
+    @Test
+    void evidenceTellsAZoneFromAServerAndSilenceBeforeItsEnd() {
+        for (String id : List.of("a", "c", "e")) {
+            host.server(id, 0, Readiness.READY, 0);
+        }
+        host.server("b", 1, Readiness.READY, 0);
+        String bad = null;
+        for (int i = 0; i < 60; i++) {
+            host.now += 20 * MS;
+            String id = host.request(SAFE, 1), server = host.attempts(id).get(0).server();
+            bad = bad == null && !server.equals("b") ? server : bad;
+            host.end(id, server.equals(bad) ? Outcome.ERROR : Outcome.OK);
+            if (server.equals(bad)) {
+                host.end(id, Outcome.OK);
+            }
+        }
+        ZoneEvidence of = host.gateway.zoneEvidence(host.now).get(0);
+        assertTrue(of.bad() == 1 && of.heard() >= 2 && of.excess() < 3 && of.misses() > 0, of.toString());
+        List<String> out = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            out.add(host.request(SAFE, 1));
+        }
+        List<String> there = out.stream().filter(id -> !host.attempts(id).get(0).server().equals("b")).toList();
+        host.now += MS;
+        host.end(there.get(0), Outcome.FULL);
+        ZoneEvidence before = host.gateway.zoneEvidence(host.now).get(0);
+        assertEquals(of.misses(), before.misses(), "no room is no miss");
+        host.now += 900 * MS;
+        assertTrue(host.gateway.zoneEvidence(host.now).get(0).excess() < 0.5, "they were sent before the zone last answered");
+        out.forEach(id -> host.end(id, Outcome.OK));
+        host.now += MS;
+        host.request(SAFE, 1);
+        host.request(SAFE, 1);
+        host.request(SAFE, 1);
+        host.now += 900 * MS;
+        ZoneEvidence silent = host.gateway.zoneEvidence(host.now).get(0);
+        assertTrue(silent.excess() >= 1 && silent.silent() >= 1, silent + " " + host.sent.subList(host.sent.size() - 4, host.sent.size()));
+        assertEquals(0.75, silent.share(), 1e-9);
+    }
+
     private void servedBy(String server, int requests) {
         for (int i = 0; i < requests; i++) {
             host.now += 20 * MS;
--- a/edge/src/test/java/thistlefall/node/EdgeNodeTest.java
+++ b/edge/src/test/java/thistlefall/node/EdgeNodeTest.java
@@ -475,6 +475,11 @@
             good.replace("\"my-number\": 0", "\"my-number\": \"x\""), "settings.my-number is not a number",
             good.replace("\"aim-ns\"", "\"aim\""), "settings.classes.0.aim-ns is missing",
             good.replace("\"tariffs\"", "\"plans\""), "tariffs is missing", "{", "the configuration is not JSON"));
+        Map.of("{}", "zones.verdicts is not alone or counter", "{\"verdicts\":\"all\"}", "zones.verdicts is not alone or counter",
+            "7", "zones is not an object", "{\"verdicts\":\"alone\",\"most\":1}", "zones.most is unknown",
+            "{\"verdicts\":\"alone\",\"most-out-percent\":91}", "zones.most-out-percent is not a whole number from 1 to 90",
+            "{\"verdicts\":\"alone\",\"alone-after-ms\":499}", "zones.alone-after-ms is not a whole number from 500 to 60000")
+            .forEach((zones, said) -> broken.put(good.replaceFirst("\\{", "{\"zones\":" + zones + ","), said));
         for (Map.Entry<String, String> one : broken.entrySet()) {
             String said = assertThrows(Config.Invalid.class, () -> Config.parse(one.getKey())).getMessage();
             assertTrue(said.startsWith(one.getValue()), said);
--- a/lab/src/main/java/thistlefall/lab/fleet/Load.java
+++ b/lab/src/main/java/thistlefall/lab/fleet/Load.java
@@ -3,13 +3,15 @@
 import java.util.List;
 import thistlefall.lab.load.Plan;
 import thistlefall.lab.load.RequestClass;
+import thistlefall.node.zones.ZoneSettings;
 
 /**
- * What edge nodes are told of what will be asked.
+ * What edge nodes are told of what will be asked, and how they are to judge zones.
  *
  * @param keyLife for how long archive servers drop repeats of a key, in nanoseconds
+ * @param zones how zones are judged; null if by operators alone
  */
-public record Load(List<RequestClass> classes, List<Plan> plans, long keyLife) {
+public record Load(List<RequestClass> classes, List<Plan> plans, long keyLife, ZoneSettings zones) {
     /** Units that a plan's ceiling may be passed by: a tenth of what it holds, one at least. */
     public double slack(Plan plan) {
         return Math.max(1, 0.1 * plan.ceiling() * plan.burst());
--- a/lab/src/main/java/thistlefall/lab/fleet/NodeConfig.java
+++ b/lab/src/main/java/thistlefall/lab/fleet/NodeConfig.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
+import java.util.Locale;
 import thistlefall.lab.load.Plan;
 import thistlefall.lab.load.RequestClass;
 import thistlefall.lab.net.Party;
@@ -57,6 +58,9 @@
         root.putObject("limits").put("sockets", SOCKETS);
         root.set("known", JSON.readTree(known.json()));
         root.set("settings", settings(of, load, node));
+        if (load.zones() != null) {
+            root.putObject("zones").put("verdicts", load.zones().verdicts().name().toLowerCase(Locale.ROOT));
+        }
         return JSON.writeValueAsString(root);
     }
 
--- a/lab/src/main/java/thistlefall/lab/model/Model.java
+++ b/lab/src/main/java/thistlefall/lab/model/Model.java
@@ -68,8 +68,8 @@
         arrivals.forEach(one -> works.put(one.id(), one.work()));
         for (Party node : topology.nodes()) {
             Settings settings = SettingsReader.read(SettingsPairs.of(NodeConfig.settings(topology, scenario.told(), node)));
-            nodes.add(new NodeHost(node, new NodeHost.Surroundings(timeline, network, settings, this::list, servers, counter,
-                id -> works.get(Retries.request(id)), this::told, (who, text) -> log.accept(String.format("%.3f s %s: %s",
+            nodes.add(new NodeHost(node, new NodeHost.Surroundings(timeline, network, settings, scenario.told().zones(), topology.zones(),
+                this::list, servers, counter, id -> works.get(Retries.request(id)), this::told, (who, text) -> log.accept(String.format("%.3f s %s: %s",
                     (timeline.now() - START - SETTLE) / 1e9, who.name(), text))), chance.split()));
         }
     }
--- a/lab/src/main/java/thistlefall/lab/model/NodeHost.java
+++ b/lab/src/main/java/thistlefall/lab/model/NodeHost.java
@@ -18,6 +18,8 @@
 import thistlefall.Ports.Settings;
 import thistlefall.lab.net.Party;
 import thistlefall.lab.stand.ArchiveServer.Ending;
+import thistlefall.node.zones.ZoneSettings;
+import thistlefall.node.zones.ZoneVerdicts;
 
 /** An edge node's machine: the program's module, and around it what the real node does on sockets, without them. */
 final class NodeHost implements Ports.Actions, Peer {
@@ -31,8 +33,9 @@
     }
 
     /** What a node is told at each of its starts, and where it reaches whom. */
-    record Surroundings(Timeline timeline, Network network, Settings settings, Supplier<List<Server>> list, Map<String, ServerHost> servers,
-                        CounterHost counter, ToLongFunction<String> work, BiConsumer<Party, Server> told, BiConsumer<Party, String> log) {
+    record Surroundings(Timeline timeline, Network network, Settings settings, ZoneSettings zones, List<String> zoneNames,
+                        Supplier<List<Server>> list, Map<String, ServerHost> servers, CounterHost counter,
+                        ToLongFunction<String> work, BiConsumer<Party, Server> told, BiConsumer<Party, String> log) {
     }
 
     /** As the real node: the module sees deadlines early, and what it leaves unanswered is failed. */
@@ -79,6 +82,7 @@
     private final Map<String, Open> open = new LinkedHashMap<>();
     private final Map<ServerHost, Pool> pools = new LinkedHashMap<>();
     private Gateway gateway;
+    private ZoneVerdicts verdicts;
     private int life;
     private boolean ready, ending, paused, deaf;
     /** What happened while the process stood still, and what discovery has not said. */
@@ -123,6 +127,10 @@
         soon(LISTENS, () -> {
             gateway = new Gateway(around.settings, chance.nextLong(), timeline.now(), this);
             gateway.list(timeline.now(), ListKind.CACHED, known);
+            if (around.zones != null) {
+                verdicts = new ZoneVerdicts(around.zones, around.settings, around.zoneNames, chance.nextLong(), timeline.now(), gateway, this);
+                judge();
+            }
         });
         soon(HEARD, () -> {
             if (!deaf) {
@@ -132,6 +140,11 @@
         soon(READY, () -> ready = true);
     }
 
+    private void judge() {
+        verdicts.tick(timeline.now(), !deaf);
+        soon(ZoneVerdicts.TICK, this::judge);
+    }
+
     /** Happens unless this life has ended by then. */
     private void soon(long span, Runnable what) {
         int of = life;
@@ -166,6 +179,9 @@
     /** Takes no new connections, answers what it has and ends. */
     void term() {
         ending = true;
+        if (verdicts != null) {
+            verdicts.abstain();
+        }
         endIfDone();
     }
 
@@ -188,6 +204,7 @@
     void kill() {
         life++;
         gateway = null;
+        verdicts = null;
         ready = ending = paused = false;
         backlog.clear();
         pools.clear();
@@ -382,8 +399,13 @@
     }
 
     private void counted(boolean[] over, int of, long name, Outcome outcome, double total) {
-        if (!over[0] && of == life) {
-            over[0] = true;
+        if (over[0] || of != life) {
+            return;
+        }
+        over[0] = true;
+        if (verdicts != null && ZoneVerdicts.owns(name)) {
+            verdicts.counted(timeline.now(), name, outcome, total);
+        } else {
             gateway.counted(timeline.now(), name, outcome, total);
         }
     }
--- a/lab/src/main/java/thistlefall/lab/scenario/Scenario.java
+++ b/lab/src/main/java/thistlefall/lab/scenario/Scenario.java
@@ -30,6 +30,7 @@
 import thistlefall.lab.net.Selector;
 import thistlefall.lab.stand.CounterTerms;
 import thistlefall.lab.stand.ServerTerms;
+import thistlefall.node.zones.ZoneSettings;
 
 /**
  * A scenario file, in YAML: who there is, what is asked, what goes wrong when, and what must hold. Spans ending in
@@ -37,10 +38,11 @@
  *
  * @param seed all that is drawn comes from it
  * @param spanS for how long requests arrive
+ * @param zones who judges zones; left out, operators alone
  * @param least the least share of the worth asked for that must be answered within its aim, 0 to 1
  */
 public record Scenario(String name, long seed, double spanS, Fleet topology, Servers servers, Counter counter, Traffic load,
-                       List<Fault> faults, double least) {
+                       Zones zones, List<Fault> faults, double least) {
     private static final double SECOND = 1e9, MS = 1e6;
     private static final ObjectMapper YAML = YAMLMapper.builder().propertyNamingStrategy(PropertyNamingStrategies.KEBAB_CASE)
         .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES,
@@ -108,6 +110,14 @@
         }
     }
 
+    /** How edge nodes judge zones. */
+    public record Zones(ZoneSettings.Verdicts verdicts) {
+        /** The same for a node. */
+        public ZoneSettings settings() {
+            return new ZoneSettings(verdicts, ZoneSettings.MOST_OUT, ZoneSettings.ALONE_AFTER);
+        }
+    }
+
     /** What is asked. */
     public record Traffic(double shiftS, double skew, double noticeS, List<Kind> classes, List<Customers> plans, Again retries) {
         /** Checks its ranges; the message names the figure. */
@@ -288,7 +298,7 @@
 
     /** What edge nodes are told of what will be asked. */
     public Load told() {
-        return new Load(classes(), plans(), servers.terms().keyLife());
+        return new Load(classes(), plans(), servers.terms().keyLife(), zones == null ? null : zones.settings());
     }
 
     /** How clients ask. */
@@ -316,6 +326,6 @@
 
     /** The same with another seed. */
     public Scenario withSeed(long other) {
-        return new Scenario(name, other, spanS, topology, servers, counter, load, faults, least);
+        return new Scenario(name, other, spanS, topology, servers, counter, load, zones, faults, least);
     }
 }
--- a/lab/src/test/java/thistlefall/lab/fleet/FleetTest.java
+++ b/lab/src/test/java/thistlefall/lab/fleet/FleetTest.java
@@ -69,7 +69,7 @@
     void start() throws Exception {
         fleet = new Fleet(topology, DeployFile.read(Path.of("..").toRealPath()), folder,
             new Fleet.Terms(new ServerTerms(4, 16, 50, 0.24, 17 * SECOND, 2.5, 1_500 * MS, 6 * SECOND),
-                new CounterTerms(2, MS, 500), new Load(CLASSES, PLANS, 6 * SECOND),
+                new CounterTerms(2, MS, 500), new Load(CLASSES, PLANS, 6 * SECOND, null),
                 id -> 5 * MS), this::history, 1);
         fleet.start(topology.nodes());
         for (Party node : topology.nodes()) {
--- a/lab/src/test/java/thistlefall/lab/model/ModelTest.java
+++ b/lab/src/test/java/thistlefall/lab/model/ModelTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -57,6 +58,20 @@
         }
     }
 
+    /** Twelve nodes agree over the counter: all leave a silent zone within three seconds of each other, and all have it back. */
+    @Test
+    void aSilentZoneIsLeftAsAFleet() throws Exception {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            List<String> log = new ArrayList<>();
+            Result result = Model.of(Scenario.read(Path.of("scenarios", "zone-verdict.yaml")).withSeed(seed), log::add);
+            assertEquals(List.of(), result.findings(), "seed " + seed);
+            assertTrue(result.goodput() > 0.95, "seed " + seed + ": " + result.goodput());
+            assertTrue(log.stream().filter(line -> line.contains("zone b is left by fleet")).count() >= 10, "seed " + seed + ": " + log);
+            assertTrue(log.stream().filter(line -> line.contains("zone b is back")).count() >= 10, "seed " + seed + ": " + log);
+            assertTrue(log.stream().noneMatch(line -> line.contains("zone a is left") || line.contains("zone c is left")), "seed " + seed + ": " + log);
+        }
+    }
+
     /** Troubles that cost little when all is done right; the judge looks at drains, ceilings and answers in each. */
     @Test
     void theRulesHoldInEachTrouble() throws Exception {
--- a/lab/src/test/java/thistlefall/lab/scenario/PlayTest.java
+++ b/lab/src/test/java/thistlefall/lab/scenario/PlayTest.java
@@ -44,6 +44,30 @@
         assertTrue(back < 0.2 * all, back + " of " + all + " at once");
     }
 
+    /** Three processes that tell each other nothing but votes on the counter: all leave a silent zone, and come back together. */
+    @Test
+    void aSilentZoneIsLeftByTheFleetAndComesBack() throws Exception {
+        List<Second> seconds = play("verdict").seconds();
+        int fleets = 0;
+        for (String node : List.of("n0", "n1", "n2")) {
+            List<String> log = Files.readAllLines(folder.resolve(node).resolve("log"));
+            double left = time(log, "zone b is left by"), comes = time(log, "zone b comes back by");
+            fleets += log.stream().anyMatch(line -> line.contains("zone b is left by fleet, 2") || line.contains("zone b is left by fleet, 3")) ? 1 : 0;
+            assertTrue(left > 3 && left < 7, node + " left at " + left);
+            assertTrue(comes > 8, node + " comes back at " + comes);
+        }
+        assertTrue(fleets >= 2, fleets + " nodes left by the fleet's word");
+        assertTrue(seconds.get(1).attempts().getOrDefault("b", 0) > 5, "before: " + seconds.get(1));
+        assertTrue(seconds.get(6).attempts().getOrDefault("b", 0) == 0, "out: " + seconds.get(6));
+        int back = seconds.subList(10, 14).stream().mapToInt(one -> one.attempts().getOrDefault("b", 0)).sum();
+        assertTrue(back > 5, "back: " + seconds);
+    }
+
+    private static double time(List<String> log, String text) {
+        return log.stream().filter(line -> line.contains(text)).mapToDouble(line -> Double.parseDouble(line.substring(0, line.indexOf(' '))))
+            .findFirst().orElseThrow(() -> new AssertionError(text + " is not in " + log));
+    }
+
     @Test
     void serversDrainANodeEndsAnotherStandsStillAndTheCounterIsLost() throws Exception {
         Result result = play("drained");
