A request that is no trial is not sent as one where servers stand in no zone

Need: read again, choose() asked for a trial on every first attempt that may be repeated; with none to make, trial() looked for servers of zone -1, which is the zone of every server whose locality the settings do not name. Cause: Gateway.trial, `trials.isEmpty() ? -1`. There such a request went to a server drawn by chance, past scores, warmth and zones; elsewhere it cost a look through all servers for each request. It came with the verdicts on zones and is not limited to nodes that have them configured. Change: no trial, no look. Result: RulesTest#whereThereAreNoZonesServersAreChosenAsEver, a server that refuses connections beside one that answers: chosen before, not chosen now.

--- a/edge/src/main/java/thistlefall/Gateway.java
+++ b/edge/src/main/java/thistlefall/Gateway.java
@@ -1151,7 +1151,8 @@
 
     /** A server of a zone that is out and to be tried; null if there is none. */
     private Backend trial() {
-        int zone = trials.isEmpty() ? -1 : trials.iterator().next();
+        if (trials.isEmpty()) { return null; }
+        int zone = trials.iterator().next();
         trials.remove(zone);
         List<Backend> its = allowed.stream().filter(b -> in(zone, b)).toList();
         return its.isEmpty() ? null : its.get(random.nextInt(its.size()));
--- a/edge/src/test/java/thistlefall/RulesTest.java
+++ b/edge/src/test/java/thistlefall/RulesTest.java
@@ -368,6 +368,24 @@
         servedBy("b", 1);
     }
 
+    /** A site without zones: its servers stand in none, and none is to be tried. */
+    @Test
+    void whereThereAreNoZonesServersAreChosenAsEver() {
+        for (String id : List.of("a", "b")) {
+            host.gateway.list(host.now, ListKind.DELTA, List.of(new Server(id, 1, -1, 0, 0, Readiness.READY, 0)));
+        }
+        for (int i = 0; i < 20; i++) {
+            host.now += 20 * MS;
+            String id = host.request(SAFE, 1);
+            if (host.attempts(id).get(0).server().equals("a")) {
+                host.end(id, Outcome.CONNECT_FAILED);
+            }
+            host.end(id, Outcome.OK);
+        }
+        host.sent.clear();
+        servedBy("b", 50);
+    }
+
     /** What tells a zone that fails from one server that does, from silence and from a load too high. */
     @Test
     void evidenceTellsAZoneFromAServerAndSilenceBeforeItsEnd() {
