Zones: late attempts counted once, one way to the agreement, no bound that never binds

Behaviour as it was. Result: the whole test command passes, no test changed but the call without arguments.

--- a/edge/src/main/java/thistlefall/Gateway.java
+++ b/edge/src/main/java/thistlefall/Gateway.java
@@ -231,15 +231,17 @@
             tally.fade();
             List<Backend> its = all.stream().filter(b -> in(zone, b)).toList();
             // What is out for far too long is missed already: silence must not be waited for to its end.
-            long late = its.stream().mapToLong(b -> b.late(tally.answered)).sum();
+            Map<Backend, Long> lates = new HashMap<>();
+            its.forEach(b -> lates.put(b, b.late(tally.answered)));
+            long late = lates.values().stream().mapToLong(one -> one).sum();
             List<Backend> heard = its.stream()
-                .filter(b -> now - b.heard < FORGIVE_S * SECOND || b.late(tally.answered) > 0).toList();
-            List<Backend> mute = heard.stream().filter(b -> b.silent || b.late(tally.answered) > 0).toList();
-            int bad = (int) heard.stream().filter(b -> b.missed || mute.contains(b)).count();
+                .filter(b -> now - b.heard < FORGIVE_S * SECOND || lates.get(b) > 0).toList();
+            int mute = (int) heard.stream().filter(b -> b.silent || lates.get(b) > 0).count();
+            int bad = (int) heard.stream().filter(b -> b.missed || lates.get(b) > 0).count();
             int cold = (int) its.stream().filter(Backend::cold).count();
             double share = its.size() / (double) all.size();
             return new ZoneEvidence(zone, tally.ended + late, tally.missed + late, tally.excess + late,
-                its.size(), heard.size(), bad, mute.size(), cold, share, tally.attempts, tally.misses,
+                its.size(), heard.size(), bad, mute, cold, share, tally.attempts, tally.misses,
                 tally.answered);
         }).toList();
     }
--- a/edge/src/main/java/thistlefall/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/node/EdgeNode.java
@@ -166,7 +166,7 @@
             boolean succeeded = slots.otherTakes();
             slots.take(false);
             if (verdicts != null) {
-                verdicts.abstain();
+                verdicts.agreement().abstain();
             }
             clients.stop(done, succeeded);
             return succeeded ? gateway.handOver(now()) : null;
@@ -233,7 +233,7 @@
             long now = now();
             for (int i = 0; i < config.names().zones().size() && gateway != null; i++) {
                 Ports.ZoneState zone = gateway.zone(i);
-                ZoneVerdict verdict = verdicts == null || zone.byHand() ? null : verdicts.verdict(i);
+                ZoneVerdict verdict = verdicts == null || zone.byHand() ? null : verdicts.agreement().verdict(i);
                 String state = zone.share() == 0 ? "out" : zone.share() < 1 ? "returning" : "in";
                 text.append(String.format(Locale.ROOT, "%s state=%s share=%.2f servers=%d usable=%d", config.names().zones().get(i),
                     verdict == null ? state : verdict.state().name().toLowerCase(Locale.ROOT), zone.share(), zone.listed(), zone.usable()));
--- a/edge/src/main/java/thistlefall/node/zones/ZoneAgreement.java
+++ b/edge/src/main/java/thistlefall/node/zones/ZoneAgreement.java
@@ -147,8 +147,8 @@
         }
     }
 
-    /** No tally comes for this one. */
-    public void unanswered(long now, Ballot ballot) {
+    /** No tally comes for a call. */
+    public void unanswered() {
         unanswered++;
     }
 
--- a/edge/src/main/java/thistlefall/node/zones/ZoneMachine.java
+++ b/edge/src/main/java/thistlefall/node/zones/ZoneMachine.java
@@ -15,8 +15,8 @@
     private static final long FRESH = 4_000_000_000L;
     /** New work falls to nothing over this. */
     private static final long LEAVE = 500_000_000L;
-    /** A zone is out for so long at least, twice as long after each relapse, up to the most. */
-    private static final long HOLD = 1_000_000_000L, MOST_HOLD = 60_000_000_000L;
+    /** A zone is out for so long at least, twice as long after each relapse, up to so many times. */
+    private static final long HOLD = 1_000_000_000L;
     private static final int MOST_DOUBLINGS = 5;
     /** A relapse counts as one while its zone was back for less than this. */
     private static final long FORGET = 60_000_000_000L;
@@ -137,7 +137,7 @@
     private void leave(long now, Why by, int votes) {
         boolean relapse = state == State.RETURNING;
         relapses = relapse || returnedAt != NEVER && now - returnedAt < FORGET ? relapses + 1 : 0;
-        long hold = Math.min(MOST_HOLD, HOLD << Math.min(relapses, MOST_DOUBLINGS));
+        long hold = HOLD << Math.min(relapses, MOST_DOUBLINGS);
         // The same at all nodes, so that they can find it well together; another for each zone and relapse.
         heldUntil = now + (long) (hold * (0.75 + new SplittableRandom(zone * 31L + relapses).nextDouble() / 2));
         triedIn = NEVER;
--- a/edge/src/main/java/thistlefall/node/zones/ZoneVerdicts.java
+++ b/edge/src/main/java/thistlefall/node/zones/ZoneVerdicts.java
@@ -63,21 +63,11 @@
         if (ballot != null && outcome == Outcome.OK) {
             agreement.tallied(now, ballot, total);
         } else if (ballot != null) {
-            agreement.unanswered(now, ballot);
+            agreement.unanswered();
         }
     }
 
-    /** This process ends or is succeeded. */
-    public void abstain() {
-        agreement.abstain();
-    }
-
-    /** How a zone stands by verdict. */
-    public ZoneVerdict verdict(int zone) {
-        return agreement.verdict(zone);
-    }
-
-    /** What operators read. */
+    /** Who decides, for what operators read and for the end of this process. */
     public ZoneAgreement agreement() {
         return agreement;
     }
--- a/edge/src/test/java/thistlefall/node/zones/ZoneFleet.java
+++ b/edge/src/test/java/thistlefall/node/zones/ZoneFleet.java
@@ -66,7 +66,7 @@
                 if (of == agreement && answered) {
                     agreement.tallied(now + off, ballot, total);
                 } else if (of == agreement) {
-                    agreement.unanswered(now + off, ballot);
+                    agreement.unanswered();
                 }
             }));
         }
--- a/lab/src/main/java/thistlefall/lab/model/NodeHost.java
+++ b/lab/src/main/java/thistlefall/lab/model/NodeHost.java
@@ -180,7 +180,7 @@
     void term() {
         ending = true;
         if (verdicts != null) {
-            verdicts.abstain();
+            verdicts.agreement().abstain();
         }
         endIfDone();
     }
