Discovery: a watch that hangs is not waited for; lists in any layout; older ones not taken

Need: a change counts as told 6 s after discovery had it and could be reached, whatever failed before. A call begun just before discovery was back could hang for the read time-out of 5 s (DiscoveryClient.SILENCE_S) and then wait up to 2 s of back-off, which an empty line of a sound watch did not reset and all nodes went through in step: 7 s and more. A list over several lines ended its watch as bad JSON, again and again; a late line of an old watch, or an agent that knew less, could bring back an older list and set the revision back.

Change: when discovery is asked, and whose word counts, is a plain core on a given clock (node.discovery.Watches): another watch is opened beside one that has not spoken for 1 s, a silent one is replaced after 3 s, at most three are open, the first that speaks is followed and the others are closed; a moved discovery's old address is heard until the new one speaks. Back-off up to 1 s, by chance. A list older than the one held is not taken and asked for again, until nothing else came for 30 s. Objects are cut out by their braces, 1 MiB at the most (JsonObjects).

--- a/edge/src/main/java/thistlefall/node/DiscoveryClient.java
+++ b/edge/src/main/java/thistlefall/node/DiscoveryClient.java
@@ -17,33 +17,33 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import thistlefall.Ports.ListKind;
 import thistlefall.node.connections.Dial;
+import thistlefall.node.discovery.JsonObjects;
+import thistlefall.node.discovery.Watches;
 
-/** Watches the list of app servers, from the last revision heard on, and again whenever a watch ends. */
-final class DiscoveryClient {
-    /** A line comes every 2 s at least: two missed are a dead connection. What it tells counts as told after 6 s. */
-    private static final int SILENCE_S = 5;
-    private static final int CONNECT_MS = 1_000, MOST_LINE = 1 << 20;
+/** Follows the list of app servers on the sockets; when it is asked for, and whose word counts, is for {@link Watches}. */
+final class DiscoveryClient implements Watches.Host {
+    private static final int MOST_OBJECT = 1 << 20;
     /** From this silence on the list may be older than what counts as told to this edge node (protocol, Figures). */
     private static final long TOLD_MS = 6_000;
-    private static final long FIRST_BACKOFF_MS = 100, MOST_BACKOFF_MS = 2_000, PATIENCE_MS = 1_000;
+    private static final long PATIENCE_MS = 1_000;
 
     private final EdgeNode node;
     private final EventLoop loop;
     private final Config.Names names;
-    private InetSocketAddress address;
     private final Bootstrap bootstrap;
-    private long revision, backoff = FIRST_BACKOFF_MS;
-    private volatile boolean heard;
-    private Channel watching;
+    private final Watches watches;
+    private final Map<Watches.Watch, Channel> channels = new HashMap<>();
+    private final CompletableFuture<Void> first = new CompletableFuture<>();
+    private InetSocketAddress address;
     private boolean deaf;
     private ScheduledFuture<?> overdue;
 
@@ -52,145 +52,163 @@
         this.loop = loop;
         names = config.names();
         address = config.discovery();
+        watches = new Watches(this, config.seed());
         bootstrap = new Bootstrap().group(loop)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-            .handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new ReadTimeoutHandler(SILENCE_S), new HttpClientCodec(),
-                        new Watch());
-                }
-            });
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) TimeUnit.NANOSECONDS.toMillis(Watches.ANSWER));
     }
 
     void start(long known) {
-        revision = known;
         node.figures.discoveryHeard();
         // A discovery that is down must not keep the edge node from serving by the list it has.
-        loop.schedule(() -> heard = true, PATIENCE_MS, TimeUnit.MILLISECONDS);
-        watch();
+        loop.schedule(() -> first.complete(null), PATIENCE_MS, TimeUnit.MILLISECONDS);
+        watches.start(System.nanoTime(), known);
+        loop.scheduleAtFixedRate(this::look, Watches.LOOK, Watches.LOOK, TimeUnit.NANOSECONDS);
+    }
+
+    /** Ends when a first message has come, or has been waited for long enough; any thread. */
+    CompletableFuture<Void> first() {
+        return first;
     }
 
-    /** Whether a first message has come, or has been waited for long enough. */
+    /** Whether a first message has come, or has been waited for long enough; any thread. */
     boolean heard() {
-        return heard;
+        return first.isDone();
     }
 
-    /** Goes on at another address at once; the watch at the old one ends, so that no change is told twice. */
+    /** Goes on at another address at once; what the old one says until the new one speaks is still heard. */
     void move(InetSocketAddress to) {
         System.out.println("discovery is followed from " + address + " to " + to);
         address = to;
-        backoff = FIRST_BACKOFF_MS;
-        Channel old = watching;
-        watch();
-        if (old != null) {
-            old.close();
-        }
+        watches.move(System.nanoTime());
     }
 
-    private void watch() {
-        Channel channel;
-        try {
-            channel = Dial.connect(bootstrap, address).channel();
-        } catch (IOException e) {
-            EdgeNode.trouble("discovery", e);
-            watching = null;
-            backOff();
-            return;
+    private void look() {
+        long now = System.nanoTime();
+        if (!watches.sound(now) && node.figures.discoverySilence() >= TimeUnit.NANOSECONDS.toMillis(Watches.SILENCE)) {
+            missed();
         }
-        watching = channel;
-        channel.closeFuture().addListener(closed -> {
-            if (channel == watching) {
-                backOff();
-            }
-        });
+        watches.look(now);
     }
 
-    private void backOff() {
+    /** Told once: a discovery that is down is asked over and over. */
+    private void missed() {
         if (!deaf) {
-            // Told once: a discovery that is down is asked over and over.
             deaf = true;
-            System.out.println("discovery's watch at " + address + " ended at revision " + revision);
+            System.out.println("discovery's watch at " + address + " ended at revision " + watches.revision());
             tellSilence(TOLD_MS);
         }
-        loop.schedule(this::again, backoff, TimeUnit.MILLISECONDS);
-        backoff = Math.min(MOST_BACKOFF_MS, 2 * backoff);
     }
 
     /** Says that no word came for {@code span} ms, when that is so, and again at twice as long. */
     private void tellSilence(long span) {
         overdue = loop.schedule(() -> {
             System.out.println("discovery has not been heard for " + node.figures.discoverySilence()
-                + " ms, last asked at " + address + ": the list stays at revision " + revision);
+                + " ms, last asked at " + address + ": the list stays at revision " + watches.revision());
             tellSilence(2 * span);
         }, span - node.figures.discoverySilence(), TimeUnit.MILLISECONDS);
     }
 
-    private void again() {
-        // A move in the meantime has begun another watch.
-        if (watching == null || !watching.isOpen()) {
-            watch();
+    private void heardAgain() {
+        if (deaf) {
+            deaf = false;
+            overdue.cancel(false);
+            System.out.println("discovery is heard again after " + node.figures.discoverySilence() + " ms");
+        }
+        node.figures.discoveryHeard();
+    }
+
+    @Override
+    public void open(Watches.Watch watch) {
+        Channel channel;
+        try {
+            channel = Dial.connect(bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel made) {
+                    made.pipeline().addLast(new HttpClientCodec(), new Reader(watch));
+                }
+            }), address).channel();
+        } catch (IOException e) {
+            EdgeNode.trouble("discovery", e);
+            node.exhausted();
+            loop.execute(() -> ended(watch));
+            return;
+        }
+        channels.put(watch, channel);
+        channel.closeFuture().addListener(closed -> ended(watch));
+    }
+
+    @Override
+    public void close(Watches.Watch watch) {
+        Channel channel = channels.remove(watch);
+        if (channel != null) {
+            channel.close();
         }
     }
 
-    /** One watch: a chunked answer with a JSON object a line. */
-    private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private void ended(Watches.Watch watch) {
+        channels.remove(watch);
+        if (watch.isOpen()) {
+            watches.ended(System.nanoTime(), watch);
+            if (!watches.sound(System.nanoTime())) {
+                missed();
+            }
+        }
+    }
+
+    /** One watch: a chunked answer of JSON objects, with an empty line each 2 s. */
+    private final class Reader extends SimpleChannelInboundHandler<HttpObject> {
+        private final Watches.Watch watch;
+        private final JsonObjects objects = new JsonObjects(MOST_OBJECT, this::read, this::emptyLine);
         private boolean ended;
 
+        Reader(Watches.Watch watch) {
+            this.watch = watch;
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext context) {
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                "/catalog/members?watch=1&after=" + revision);
+                "/catalog/members?watch=1&after=" + watches.revision());
             request.headers().set(HttpHeaderNames.HOST, "discovery");
             context.writeAndFlush(request);
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, HttpObject part) throws Exception {
+        protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
             // The rest of what was read goes on arriving after a close: the body of an error is no list.
-            ended |= part.decoderResult().isFailure()
+            ended |= !watch.isOpen() || part.decoderResult().isFailure()
                 || part instanceof HttpResponse response && response.status().code() != 200;
-            if (ended) {
-                context.close();
-                return;
-            }
-            if (part instanceof HttpContent content) {
+            if (!ended && part instanceof HttpContent content) {
                 ByteBuf bytes = content.content();
-                while (bytes.isReadable()) {
-                    int length = bytes.bytesBefore((byte) '\n');
-                    bytes.readBytes(line, length < 0 ? bytes.readableBytes() : length);
-                    if (line.size() > MOST_LINE) {
-                        throw new Config.Invalid("discovery's line is too long");
-                    }
-                    if (length >= 0) {
-                        bytes.skipBytes(1);
-                        String text = line.toString(StandardCharsets.UTF_8);
-                        line.reset();
-                        read(text);
-                    }
+                while (watch.isOpen() && bytes.isReadable()) {
+                    objects.next(bytes.readByte());
                 }
             }
-            if (part instanceof LastHttpContent) {
+            if (ended || part instanceof LastHttpContent) {
                 context.close();
             }
         }
 
-        private void read(String text) throws Config.Invalid {
-            if (deaf) {
-                deaf = false;
-                overdue.cancel(false);
-                System.out.println("discovery is heard again after " + node.figures.discoverySilence() + " ms");
+        private void emptyLine() {
+            if (watches.heard(System.nanoTime(), watch)) {
+                heardAgain();
+            }
+        }
+
+        private void read(String text) {
+            Config.Roll roll;
+            try {
+                roll = Config.roll(text, names);
+            } catch (Config.Invalid e) {
+                throw new IllegalArgumentException(e.getMessage(), e);
             }
-            node.figures.discoveryHeard();
-            if (text.isBlank()) {
-                return;
+            if (watches.takes(System.nanoTime(), watch, roll.revision(), roll.complete())) {
+                heardAgain();
+                node.list(roll, roll.complete() ? ListKind.FULL : ListKind.DELTA);
+                first.complete(null);
+            } else if (!watch.isOpen()) {
+                System.out.println("discovery's list of revision " + roll.revision() + " is older than the one held");
             }
-            Config.Roll roll = Config.roll(text, names);
-            node.list(roll, roll.complete() ? ListKind.FULL : ListKind.DELTA);
-            revision = roll.revision();
-            heard = true;
-            backoff = FIRST_BACKOFF_MS;
         }
 
         @Override
--- a/edge/src/main/java/thistlefall/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/node/EdgeNode.java
@@ -106,9 +106,7 @@
         handover.discard();
         decide();
         loop.submit(() -> discovery.start(config.known().revision())).get();
-        while (!discovery.heard()) {
-            Thread.sleep(POLL_MS);
-        }
+        discovery.first().get();
         admitted = true;
         clients.bind().get();
         slots.take(true);
--- /dev/null
+++ b/edge/src/main/java/thistlefall/node/discovery/JsonObjects.java
@@ -0,0 +1,72 @@
+package thistlefall.node.discovery;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+/**
+ * Cuts a stream of bytes into JSON objects, however they are laid out: one a line, over several lines, or one behind the
+ * other. An empty line between two of them is told too. What an object holds is not looked at: that is for a parser.
+ */
+public final class JsonObjects {
+    private final int most;
+    private final Consumer<String> object;
+    private final Runnable emptyLine;
+    private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+    private int depth;
+    private boolean text, escaped, something;
+
+    /** {@code most} is how many bytes an object may have; an empty line is told as {@code emptyLine}. */
+    public JsonObjects(int most, Consumer<String> object, Runnable emptyLine) {
+        this.most = most;
+        this.object = object;
+        this.emptyLine = emptyLine;
+    }
+
+    /**
+     * The next byte.
+     *
+     * @throws IllegalArgumentException if no object can begin so, or if one is too long
+     */
+    public void next(byte next) {
+        if (depth == 0) {
+            between(next);
+            return;
+        }
+        hold(next);
+        if (text) {
+            text = escaped || next != '"';
+            escaped = !escaped && next == '\\';
+        } else if (next == '"') {
+            text = true;
+        } else if (next == '{') {
+            depth++;
+        } else if (next == '}' && --depth == 0) {
+            String whole = held.toString(StandardCharsets.UTF_8);
+            held.reset();
+            object.accept(whole);
+        }
+    }
+
+    private void between(byte next) {
+        if (next == '{') {
+            something = true;
+            depth = 1;
+            hold(next);
+        } else if (next == '\n') {
+            if (!something) {
+                emptyLine.run();
+            }
+            something = false;
+        } else if (next != ' ' && next != '\t' && next != '\r') {
+            throw new IllegalArgumentException("no JSON object begins with the byte " + next);
+        }
+    }
+
+    private void hold(byte next) {
+        if (held.size() >= most) {
+            throw new IllegalArgumentException("an object of more than " + most + " bytes");
+        }
+        held.write(next);
+    }
+}
--- /dev/null
+++ b/edge/src/test/java/thistlefall/node/discovery/JsonObjectsTest.java
@@ -0,0 +1,47 @@
+package thistlefall.node.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class JsonObjectsTest {
+    private final List<String> told = new ArrayList<>();
+    private final JsonObjects objects = new JsonObjects(100, told::add, () -> told.add(""));
+
+    private List<String> read(String text) {
+        for (byte next : text.getBytes(StandardCharsets.UTF_8)) {
+            objects.next(next);
+        }
+        return told;
+    }
+
+    @Test
+    void objectsComeInAnyLayoutAndEmptyLinesBetweenThemAreTold() {
+        assertEquals(List.of("{\"a\":1}", "", "{\n \"b\": {\n\n  \"c\": [{}]\n }\n}", "{}", "{}", ""),
+            read("{\"a\":1}\n\n{\n \"b\": {\n\n  \"c\": [{}]\n }\n}\r\n{} {}\n \t\r\n"));
+    }
+
+    @Test
+    void bracesInTextsAreNone() {
+        String odd = "{\"a\":\"}{\\\"}\\\\\",\"b\":\"\\\\\"}";
+        assertEquals(List.of(odd, "{\"ñ\":\"á}\"}"), read(odd + "{\"ñ\":\"á}\"}"));
+    }
+
+    @Test
+    void whatIsNoObjectOrTooLongEndsIt() {
+        for (String no : List.of("[1]", "x", "}", "\"a\"", "{\"a\":\"" + "b".repeat(100))) {
+            told.clear();
+            JsonObjects fresh = new JsonObjects(100, told::add, () -> told.add(""));
+            assertThrows(IllegalArgumentException.class, () -> {
+                for (byte next : no.getBytes(StandardCharsets.UTF_8)) {
+                    fresh.next(next);
+                }
+            }, no);
+            assertEquals(List.of(), told);
+        }
+    }
+}
