Listen when discovery was heard; a signal in the midst of a start ends it

Need: what discovery's agent has counts as told from a process's first moment, and the list in the configuration may name servers told to leave since. The node listened before it had asked, and sent by the old list until the answer came. And a SIGTERM between the start and the bind left a process that opened its socket after the drain had ended (Listener.listening was null in the drain's close: no end, for a minute), or that marked itself as the one to take clients.

Change: EdgeNode.start waits for the first list, or for 1 s of a silent discovery, before it listens; the bind is on the loop and not done once the process ends; admit and the slot likewise.

--- a/edge/src/main/java/thistlefall/node/ClientServer.java
+++ b/edge/src/main/java/thistlefall/node/ClientServer.java
@@ -79,8 +79,10 @@
     private volatile boolean draining;
     /** The end of the grace time, in which connections go on coming. */
     private Future<?> grace;
-    private CompletableFuture<Void> drained;
+    private volatile CompletableFuture<Void> drained;
     private volatile boolean succeeded;
+    /** Null until it was begun to listen. */
+    private CompletableFuture<Void> binding;
 
     ClientServer(EdgeNode node, EventLoop loop, Config config) throws IOException {
         this.node = node;
@@ -108,15 +110,33 @@
         }
     }
 
+    /** Listens; ends at once, with nothing done, if the process ends already. */
     CompletableFuture<Void> bind() {
-        return listener.bind(config.listen(), true, channel -> {
-            RequestDecoder decoder = new RequestDecoder();
-            Session session = new Session(decoder);
-            if (tls != null) {
-                channel.pipeline().addLast(tls.gate(() -> session.entry.secured()));
+        CompletableFuture<Void> bound = new CompletableFuture<>();
+        loop.execute(() -> {
+            if (drained != null) {
+                bound.complete(null);
+                return;
             }
-            channel.pipeline().addLast(decoder, new HttpResponseEncoder(), session);
+            binding = listener.bind(config.listen(), true, this::accepted);
+            binding.whenComplete((done, e) -> {
+                if (e == null) {
+                    bound.complete(null);
+                } else {
+                    bound.completeExceptionally(e);
+                }
+            });
         });
+        return bound;
+    }
+
+    private void accepted(Channel channel) {
+        RequestDecoder decoder = new RequestDecoder();
+        Session session = new Session(decoder);
+        if (tls != null) {
+            channel.pipeline().addLast(tls.gate(() -> session.entry.secured()));
+        }
+        channel.pipeline().addLast(decoder, new HttpResponseEncoder(), session);
     }
 
     void close() {
@@ -176,6 +196,11 @@
         return true;
     }
 
+    /** Whether the process ends; any thread. */
+    boolean stopping() {
+        return drained != null;
+    }
+
     /** Whether another process takes this edge node's clients now; any thread. */
     boolean succeeded() {
         return succeeded;
@@ -189,6 +214,11 @@
         succeeded = bySuccessor;
         drain(true);
         drained = done;
+        if (binding == null) {
+            // A signal in the midst of a start: nobody came, and nobody will.
+            finishDrain();
+            return;
+        }
         if (bySuccessor) {
             listener.close(this::finishDrain);
         }
--- a/edge/src/main/java/thistlefall/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/node/EdgeNode.java
@@ -91,10 +91,15 @@
         bound(1).clamped().forEach(this::log);
     }
 
-    /** Begins to serve; returns when the listening socket is bound. */
+    /**
+     * Begins to serve; returns when the listening socket is bound, or when the process ends before that. What discovery's
+     * agent has counts as told from the first moment on, and the list as last had may name servers that leave: nobody is
+     * listened to before the agent was heard, or has been waited for.
+     */
     void start() throws Exception {
         decide();
         loop.submit(() -> discovery.start(config.known().revision())).get();
+        discovery.first().get();
         clients.bind().get();
     }
 
@@ -109,8 +114,7 @@
         discovery.first().get();
         admitted = true;
         clients.bind().get();
-        slots.take(true);
-        taking = true;
+        admit();
     }
 
     /** Waits for what the other process knows of its customers; that comes when it is told to end. */
@@ -350,9 +354,18 @@
 
     /** From now on the front may send here. */
     void admit() {
-        slots.take(true);
-        admitted = true;
-        taking = true;
+        loop.execute(() -> {
+            if (!clients.stopping()) {
+                slots.take(true);
+                admitted = true;
+                taking = true;
+            }
+        });
+    }
+
+    /** Whether the process ends; any thread. */
+    boolean stopping() {
+        return clients.stopping();
     }
 
     /** Whether clients are wanted, and discovery was heard or silent for so long that the known list must do; any thread. */
--- a/edge/src/main/java/thistlefall/node/Main.java
+++ b/edge/src/main/java/thistlefall/node/Main.java
@@ -46,6 +46,9 @@
             } else {
                 node.start();
             }
+            if (node.stopping()) {
+                return;
+            }
             System.out.println("serving on " + node.address());
             System.out.println("class archive: " + (ClassArchive.inUse() ? "in use" : "none, so the start is slower"));
             if (upgrade) {
