No attempt goes to a server that was told to leave after it was chosen

Need: the operators saw requests sent to servers announced as leaving. The module chooses by the list, but what it chose may wait for a connection: ServerPool.update did nothing at Terminating of the same run, so an attempt that waited at its Target (a connection in use, a dial under way, a cap learned) went out when one was free, up to the end of its patience later.

Change: a server that leaves is retired at its pool like one that is gone: who waits is told at once and sent elsewhere, a dial that comes up is closed, no idle connection is kept; Ready again it begins with new ones. Such an attempt was never sent and is no fault of the server: NOT_SENT in place of CONNECT_FAILED, which had counted as silence in its zone's evidence.

--- a/edge/src/main/java/thistlefall/node/ServerPool.java
+++ b/edge/src/main/java/thistlefall/node/ServerPool.java
@@ -145,13 +145,21 @@
 
     /** What the list says of an app server, and the connections to it: a restart or a move makes new ones. */
     private record Listed(Config.Member member, Servers.Target target) {
-        boolean sameRun(Config.Member other) {
+        boolean same(Config.Member other) {
             return member.address().equals(other.address())
-                && member.server().startedAt() == other.server().startedAt();
+                && member.server().startedAt() == other.server().startedAt()
+                && ready() == (other.server().readiness() == Readiness.READY);
+        }
+
+        boolean ready() {
+            return member.server().readiness() == Readiness.READY;
         }
     }
 
-    /** Follows the list: connections to what is gone, has moved or has restarted are of no more use. */
+    /**
+     * Follows the list: connections to what is gone, has moved or has restarted are of no more use. Nor are those to what
+     * leaves: whoever waits for one would be sent to it after it was told.
+     */
     void update(Config.Roll roll, boolean whole) {
         Set<String> named = new HashSet<>();
         for (Config.Member member : roll.members()) {
@@ -159,7 +167,7 @@
             named.add(id);
             Listed known = listed.get(id);
             boolean gone = member.server().readiness() == Readiness.GONE;
-            boolean same = known != null && known.sameRun(member);
+            boolean same = known != null && known.same(member);
             if (known != null && (gone || !same)) {
                 known.target.retire();
                 listed.remove(id);
@@ -167,7 +175,11 @@
             if (!gone && !same) {
                 long started = member.server().startedAt();
                 boolean cold = started > 0 && node.now() - started < coldSpan;
-                listed.put(id, new Listed(member, servers.add(member.address(), cold)));
+                Listed next = new Listed(member, servers.add(member.address(), cold));
+                listed.put(id, next);
+                if (!next.ready()) {
+                    next.target.retire();
+                }
             }
         }
         if (whole) {
--- a/edge/src/main/java/thistlefall/node/connections/Servers.java
+++ b/edge/src/main/java/thistlefall/node/connections/Servers.java
@@ -32,7 +32,7 @@
         /** Goes by this one, until it is answered or lost. */
         void use(Link link);
 
-        /** There is none for it; {@code own} if the edge node's own bound is why. */
+        /** There is none for it; {@code own} if that is not the archive server's fault. */
         void none(boolean own);
     }
 
@@ -154,7 +154,7 @@
             if (ready != null) {
                 ready.use(now, attempt);
             } else if (retired) {
-                attempt.none(false);
+                attempt.none(true);
             } else {
                 waiting.add(attempt);
                 look(now);
@@ -250,11 +250,11 @@
         public void clear() {
             List.copyOf(idle).forEach(Link::end);
             for (Wanting next = waiting.poll(); next != null; next = waiting.poll()) {
-                next.none(false);
+                next.none(true);
             }
         }
 
-        /** It is gone, has moved or has begun anew: its connections are of no more use. */
+        /** It leaves, is gone, has moved or has begun anew: its connections are of no more use. */
         public void retire() {
             retired = true;
             clear();
