Nothing begins for a client that has gone

But an attempt that the module had chosen and that waited for a connection went out when one came, as long as its patience (EdgeNode.clientGone told the module only); a client was not seen to leave with a further request of its read behind the one in hand (ClientServer.channelRead0 paused the connection at once); and one of HTTP/1.0 was never asked, so its close looked like a half-close to the end.

Change: an attempt that has not begun is withdrawn when its client goes or its time is over. What is behind a request in hand is read on for up to 6 parts or 4 KiB of bodies. A client that ended its sending is asked at 0, 10, 35 and 70 ms, for ways back of up to 60 ms. One of HTTP/1.0 can't be asked: it gets what is on its way, or a refusal, and nothing further begins for it.

--- a/edge/src/main/java/thistlefall/node/ClientServer.java
+++ b/edge/src/main/java/thistlefall/node/ClientServer.java
@@ -62,8 +62,13 @@
 final class ClientServer {
     private static final long MAX_CUSTOMER = 1L << 33;
     private static final long LOOK_MS = 200, LINGER_MS = 1_000, GRACE_MS = Clients.DRAIN_GRACE / 1_000_000;
-    /** How soon a client that ended its sending is asked once more whether it is still there. */
-    private static final long ASK_AGAIN_MS = 10;
+    /**
+     * When a client that ended its sending is asked whether it is still there, in milliseconds after that: the first of
+     * them that finds no answer to its way back tells. Four at the most: some clients take no more lines that mean nothing.
+     */
+    private static final long[] ASKED_AT_MS = {0, 10, 35, 70};
+    /** What is read behind a request in hand: to see a client leave, it has to be read on. */
+    private static final int MOST_BEHIND = 6, MOST_BYTES_BEHIND = 4 * 1024;
     /** The longest body that is taken. */
     private static final long MOST_LONG = 32L << 20;
     private static final int FIRST_PIECE = 512;
@@ -366,6 +371,8 @@
         private boolean keepAlive, old, headOnly, closing, inputEnded;
         /** Decoded, but behind a request that is not answered yet. */
         private final ArrayDeque<HttpObject> waiting = new ArrayDeque<>();
+        /** Bytes of bodies among it. */
+        private int behind;
         /** The request that is coming in: its head, its body while that is held, the rest of a long one. */
         private HttpRequest head;
         private ByteBuf body;
@@ -410,7 +417,10 @@
             } else {
                 // What is behind it was taken too, and a close would lose it: the peer has to wait.
                 waiting.add(ReferenceCountUtil.retain(part));
-                channel.config().setAutoRead(false);
+                behind += part instanceof HttpContent content ? content.content().readableBytes() : 0;
+                if (waiting.size() >= MOST_BEHIND || behind >= MOST_BYTES_BEHIND) {
+                    channel.config().setAutoRead(false);
+                }
             }
         }
 
@@ -443,12 +453,18 @@
                 return;
             }
             entry.halfClosed();
-            ask();
-            loop.schedule(this::ask, ASK_AGAIN_MS, TimeUnit.MILLISECONDS);
+            if (old && current != null && leaves == null) {
+                // To a peer that knows no such line.
+                node.clientUnsure(current);
+                return;
+            }
+            for (long at : ASKED_AT_MS) {
+                loop.schedule(this::ask, at, TimeUnit.MILLISECONDS);
+            }
         }
 
         private void ask() {
-            if (current != null && leaves == null && !old && channel.isActive()) {
+            if (current != null && leaves == null && channel.isActive()) {
                 goOn();
             }
         }
@@ -655,6 +671,7 @@
                 }
             }
             if (current == null && waiting.isEmpty()) {
+                behind = 0;
                 channel.config().setAutoRead(true);
                 if (inputEnded && !closing) {
                     // What came last is no whole request.
--- a/edge/src/main/java/thistlefall/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/node/EdgeNode.java
@@ -461,14 +461,29 @@
         if (!late.answered) {
             fail(late);
             event(null, now -> gateway.clientGone(now, late.request.id()));
+            late.withdraw();
         }
     }
 
-    /** The client left before its answer. */
+    /** The client left before its answer: what of its attempt has not begun does not begin any more. */
     void clientGone(OpenRequest gone) {
         if (answerOnce(gone, null) != null) {
             settle(gone);
             event(gone, now -> gateway.clientGone(now, gone.request.id()));
+            gone.withdraw();
+        }
+    }
+
+    /**
+     * The client ended its sending, or left, and which of these can't be asked: an answer that is on its way is still its,
+     * but no attempt begins any more.
+     */
+    void clientUnsure(OpenRequest unsure) {
+        unsure.lastAttempt = true;
+        event(unsure, now -> gateway.clientGone(now, unsure.request.id()));
+        unsure.withdraw();
+        if (!unsure.attemptOut) {
+            refuse(unsure.request.id(), 0);
         }
     }
 
@@ -482,6 +497,11 @@
             }
         }
         tellEnd(of, outcome, took, server, units);
+        if (of.lastAttempt && of.mayHaveRunSince == Long.MIN_VALUE) {
+            refuse(of.request.id(), 0);
+        } else if (of.lastAttempt) {
+            fail(of);
+        }
         settle(of);
     }
 
--- a/edge/src/main/java/thistlefall/node/OpenRequest.java
+++ b/edge/src/main/java/thistlefall/node/OpenRequest.java
@@ -56,6 +56,12 @@
     final Upload upload;
     int attempts;
     boolean attemptOut;
+    /** Run to end the attempt that is out, so far as it has not begun to be written; null if there is none. */
+    Runnable withdrawal;
+    /** When the first attempt was chosen that may have run; {@link Long#MIN_VALUE} if none was. */
+    long mayHaveRunSince = Long.MIN_VALUE;
+    /** Whether no attempt follows the one that is out. */
+    boolean lastAttempt;
     boolean answered;
     Future<?> overdue;
 
@@ -72,6 +78,13 @@
         this.answers = answers;
     }
 
+    /** An attempt that still waits for its connection is not made any more. */
+    void withdraw() {
+        if (withdrawal != null) {
+            withdrawal.run();
+        }
+    }
+
     /** Lets the body go. */
     void release() {
         body.release();
--- a/edge/src/main/java/thistlefall/node/ServerPool.java
+++ b/edge/src/main/java/thistlefall/node/ServerPool.java
@@ -197,6 +197,7 @@
     void send(OpenRequest of, String server, long patience) {
         Listed to = listed.get(server);
         Attempt attempt = new Attempt(of, server, patience, to == null ? null : to.target);
+        of.withdrawal = attempt::withdraw;
         if (to == null) {
             attempt.none(true);
             return;
@@ -276,6 +277,13 @@
             ((Connection) link.carrier()).write(this);
         }
 
+        /** Nobody waits for it any more. */
+        void withdraw() {
+            if (on == null) {
+                end(Outcome.NOT_SENT, 0, null);
+            }
+        }
+
         @Override
         public void none(boolean own) {
             loop.execute(() -> end(own ? Outcome.NOT_SENT : Outcome.CONNECT_FAILED, 0, null));
@@ -306,6 +314,10 @@
                 return;
             }
             over = true;
+            of.withdrawal = null;
+            if (!outcome.provesNeverRan() && of.mayHaveRunSince == Long.MIN_VALUE) {
+                of.mayHaveRunSince = sentAt;
+            }
             if (expiry != null) {
                 expiry.cancel(false);
             }
