A keyed repeat that would begin after its window is not sent

Need: servers drop repeats for key-ttl from the first attempt that may have run. Gateway.again looked at the window when it chose; a wait for a connection and the dial came on top, up to the attempt's patience: with a short window the repeat ran once more.

Change: an attempt that is given a connection later than its window less 20 ms for the way, or later than its patience (a loop that stood still sees the connection before the timer), is NOT_SENT, and the connection goes to who waits next.

Measured: CrossingsTest.aRepeatWhoseConnectionComesTooLateIsNotSent: window 0.4 s, a dial that comes up after the kernel's second packet, at 1 s.

--- a/edge/src/main/java/thistlefall/node/ServerPool.java
+++ b/edge/src/main/java/thistlefall/node/ServerPool.java
@@ -34,11 +34,14 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import thistlefall.Ports.Outcome;
 import thistlefall.Ports.Readiness;
+import thistlefall.Ports.Repeat;
+import thistlefall.Ports.RequestClass;
 import thistlefall.node.connections.Budget;
 import thistlefall.node.connections.Carrier;
 import thistlefall.node.connections.Dial;
@@ -57,6 +60,8 @@
     /** No read takes more: what is decoded of one read is passed on before the next. */
     private static final int MOST_READ = 32 * 1024;
     private static final long MS = 1_000_000L, SWEEP = 1_000 * MS;
+    /** What a request may need from its first byte here to its last byte there. */
+    private static final long ON_THE_WAY = 20 * MS;
 
     private final EdgeNode node;
     private final EventLoop loop;
@@ -64,11 +69,13 @@
     private final Map<String, Listed> listed = new HashMap<>();
     private final Servers servers;
     private final long coldSpan;
+    private final List<RequestClass> classes;
 
     ServerPool(EdgeNode node, EventLoop loop, Config config) {
         this.node = node;
         this.loop = loop;
         coldSpan = config.settings().rules().coldSpan();
+        classes = config.settings().classes();
         servers = new Servers(this, node.counts, config.seed(), config.keepAlive());
         bootstrap = new Bootstrap().group(loop)
             .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.RECVBUF_ALLOCATOR, reads())
@@ -262,6 +269,8 @@
         /** Whether a long answer is passed on: for the module the attempt was over when that began. */
         private boolean passed;
         private boolean written, over;
+        /** From then on it may not begin: its repeat could run once more, or nobody waits for it. */
+        private final long lastBegin;
         private Connection on;
         private Future<?> expiry;
 
@@ -270,10 +279,19 @@
             this.server = server;
             this.patience = patience;
             this.target = target;
+            RequestClass spec = classes.get(of.request.requestClass());
+            boolean repeat = of.mayHaveRunSince != Long.MIN_VALUE && spec.repeat() == Repeat.KEYED;
+            lastBegin = Math.min(sentAt + patience, repeat ? of.mayHaveRunSince + spec.keyWindow() - ON_THE_WAY : Long.MAX_VALUE);
         }
 
         @Override
         public void use(Servers.Link link) {
+            if (System.nanoTime() - lastBegin >= 0) {
+                // The loop stood still, or the timer for it comes next.
+                end(Outcome.NOT_SENT, 0, null);
+                link.unused(System.nanoTime());
+                return;
+            }
             ((Connection) link.carrier()).write(this);
         }
 
--- a/edge/src/main/java/thistlefall/node/connections/Servers.java
+++ b/edge/src/main/java/thistlefall/node/connections/Servers.java
@@ -376,6 +376,14 @@
             target.look(now);
         }
 
+        /** Who was given it did not use it after all. */
+        public void unused(long now) {
+            if (state == State.BUSY) {
+                target.busy.remove(this);
+                give(now);
+            }
+        }
+
         /** An attempt on it was answered whole; {@code again} if it may be used again, else it is about to be closed. */
         public void answered(long now, boolean again) {
             if (state != State.BUSY) {
