An attempt's connection is closed before its end is told

Need: unsafe and keyed requests never have two attempts out. A time-out, a broken write and an answer that can't be read were told to the module first, which may send again from within that event; the old connection was closed after that (ServerPool.Attempt.expire, Connection.write, fault).

Change: the close goes first in all of them.

Measured: CrossingsTest.theConnectionOfAnAttemptThatEndedIsClosedBeforeTheNextAttemptBegins, on embedded channels.

--- a/edge/src/main/java/thistlefall/node/ServerPool.java
+++ b/edge/src/main/java/thistlefall/node/ServerPool.java
@@ -321,10 +321,11 @@
             if (written) {
                 used.link.timedOut(System.nanoTime());
             }
-            end(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, 0, null);
             if (used != null) {
+                // Before its end is told: another attempt may begin then, and two may not be out.
                 used.close();
             }
+            end(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, 0, null);
         }
 
         void end(Outcome outcome, double units, ByteBuf body) {
@@ -425,8 +426,8 @@
                     if (done.isSuccess()) {
                         next.sent();
                     } else {
-                        next.broke();
                         channel.close();
+                        next.broke();
                     }
                 });
                 return;
@@ -434,15 +435,15 @@
             channel.write(next.message());
             channel.writeAndFlush(new DefaultHttpContent(next.of.body.retainedDuplicate())).addListener(done -> {
                 if (next.over || !done.isSuccess()) {
-                    next.broke();
                     channel.close();
+                    next.broke();
                 } else {
                     next.of.upload.passTo(channel, next::sent, () -> {
                         if (next.of.answered) {
                             next.end(Outcome.CANCELLED, 0, null);
                         }
-                        next.broke();
                         channel.close();
+                        next.broke();
                     });
                 }
             });
@@ -603,10 +604,10 @@
             drop();
             answer = null;
             whole = false;
+            channel.close();
             if (broken != null) {
                 broken.broke();
             }
-            channel.close();
         }
 
         @Override
