A long answer of no length that stops is not ended as whole

Need: an answer without length ends with its connection. Relay.All.endStalled closed the source of a relay that gave nothing for 8 s; the decoder took that close, the node's own, for the end, and the part that had come was passed on as the whole answer.

Change: a stalled end is told as a broken one.

Measured: CrossingsTest.anAnswerOfNoLengthThatStopsIsNotPassedOnAsWhole.

--- a/edge/src/main/java/thistlefall/node/Relay.java
+++ b/edge/src/main/java/thistlefall/node/Relay.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import java.io.IOException;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -95,8 +96,10 @@
             long due = System.nanoTime() - STALL;
             for (Relay relay : List.copyOf(running)) {
                 if (relay.progress - due < 0) {
-                    // With something on its way the sink takes nothing; else the source gives nothing.
-                    (relay.onWay > 0 ? relay.to : relay.from).close();
+                    // With something on its way the sink takes nothing; else the source gives nothing. Not by a close: to a
+                    // body that tells no length that would be its end.
+                    Channel stalled = relay.onWay > 0 ? relay.to : relay.from;
+                    stalled.pipeline().fireExceptionCaught(new IOException("a body that goes on no more"));
                 }
             }
         }
