The last answer of a connection is not taken back by its close

Need: a close over unread bytes is a reset, and the system drops what it still holds of the answer. Only answers before the end of a body were followed by a half-close and a second of reading (ClientServer.end); after any other last answer, as in a drain, the connection was closed when the system had taken the answer, with a further request perhaps unread.

Change: one way for all last answers: no more is sent, what comes is dropped, until the client closes or for 1 s. Such a connection holds no place: the one that lingers longest goes when a newcomer finds none.

Measured: CrossingsTest.anAnswerIsWholeThoughMoreCameInTheMomentOfTheClose (60 kB to a client of 2 kB at a time, 38 requests behind).

--- a/edge/src/main/java/thistlefall/node/ClientServer.java
+++ b/edge/src/main/java/thistlefall/node/ClientServer.java
@@ -602,11 +602,10 @@
                 answer.headers().set(HttpHeaderNames.RETRY_AFTER,
                     String.format(Locale.ROOT, "%.3f", retryAfter / 1e9));
             }
-            boolean unread = head != null || rest != null && !rest.complete;
-            keepAlive &= !unread;
+            keepAlive &= head == null && (rest == null || rest.complete);
             tellEnd(answer.headers());
             ChannelFuture written = written(channel.writeAndFlush(answer));
-            end(written, unread);
+            end(written);
             return written;
         }
 
@@ -627,7 +626,7 @@
         }
 
         /** The answer's last write is out: the connection ends, or what waits has its turn. */
-        private void end(ChannelFuture written, boolean unread) {
+        private void end(ChannelFuture written) {
             closing = endTold || draining && waiting.isEmpty();
             current = null;
             rest = null;
@@ -635,30 +634,36 @@
             drop();
             if (closing) {
                 entry.ending();
-            } else {
-                entry.idle(System.nanoTime());
+                written.addListener(done -> endSending(done.isSuccess()));
+                return;
             }
-            if (!closing) {
-                written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
-                if (!waiting.isEmpty() || !channel.config().isAutoRead()) {
-                    loop.execute(this::handleWaiting);
-                }
-            } else if (unread && channel instanceof SocketChannel socket) {
-                // A close with bytes unread would take the answer back; they are dropped for a while first.
-                written.addListener(done -> {
-                    if (tls == null) {
-                        socket.shutdownOutput();
-                    } else {
-                        tls.endSending(socket);
-                    }
-                });
-                channel.config().setAutoRead(true);
-                loop.schedule(() -> {
-                    channel.close();
-                }, LINGER_MS, TimeUnit.MILLISECONDS);
+            entry.idle(System.nanoTime());
+            written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+            if (!waiting.isEmpty() || !channel.config().isAutoRead()) {
+                loop.execute(this::handleWaiting);
+            }
+        }
+
+        /**
+         * The last answer is written, and the connection ends. A close while bytes are unread is a reset, and takes back
+         * what of the answer the system still holds: so nothing more is sent, and what comes is dropped, until the client
+         * closes too or for a while.
+         */
+        private void endSending(boolean written) {
+            if (!written || inputEnded || !(channel instanceof SocketChannel socket)) {
+                channel.close();
+                return;
+            }
+            entry.lingering();
+            if (tls == null) {
+                socket.shutdownOutput();
             } else {
-                written.addListener(ChannelFutureListener.CLOSE);
+                tls.endSending(socket);
             }
+            channel.config().setAutoRead(true);
+            loop.schedule(() -> {
+                channel.close();
+            }, LINGER_MS, TimeUnit.MILLISECONDS);
         }
 
         private void handleWaiting() {
@@ -872,7 +877,7 @@
                 if (whole) {
                     ChannelFuture last = written(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
                     last.addListener(done -> node.answerEnded(of, done.isSuccess() ? Ending.PASSED : null));
-                    end(last, false);
+                    end(last);
                     return;
                 }
                 node.answerEnded(of, Ending.BAD_GATEWAY);
--- a/edge/src/main/java/thistlefall/node/connections/Clients.java
+++ b/edge/src/main/java/thistlefall/node/connections/Clients.java
@@ -81,6 +81,8 @@
     private final Set<Entry> turnedAway = new LinkedHashSet<>();
     /** Chosen to end, unless a request comes before their turn. */
     private final Set<Entry> chosen = new LinkedHashSet<>();
+    /** Answered for the last time: they only wait for the peer's close, the longest first. */
+    private final Set<Entry> lingering = new LinkedHashSet<>();
     private int most, lane, learned = Integer.MAX_VALUE, idle;
     private long idleLimit, learnedAt;
     private boolean draining, stepping;
@@ -124,7 +126,7 @@
 
     /** Those that have a place and will keep it for now. */
     private int occupied() {
-        return entries.size() - turnedAway.size() - chosen.size();
+        return entries.size() - turnedAway.size() - chosen.size() - lingering.size();
     }
 
     /** How many are open. */
@@ -153,6 +155,11 @@
 
     /** A connection was accepted; null if there is no place at all for it. */
     public Entry accepted(long now, SocketAddress from, boolean tls, Carrier carrier) {
+        if (full() && !lingering.isEmpty()) {
+            Entry longest = lingering.iterator().next();
+            longest.closed();
+            longest.carrier.close();
+        }
         Peer peer = peers.computeIfAbsent(key(from), Peer::new);
         boolean room = occupied() < most() || makeRoom(now, peer);
         boolean away = !room && peer.count >= largest();
@@ -394,6 +401,12 @@
             rest(State.ENDING);
         }
 
+        /** The last answer is out, and nothing more is sent: its place is free for others. */
+        public void lingering() {
+            turnedAway.remove(this);
+            lingering.add(this);
+        }
+
         /** An answer is written, and is not out yet. */
         public void writing(long now) {
             wroteAt = unwritten++ == 0 ? now : wroteAt;
@@ -421,6 +434,7 @@
             peer.resting.remove(this);
             peer.count--;
             turnedAway.remove(this);
+            lingering.remove(this);
             forget(peer);
             counts.open.set(entries.size());
         }
