After clientGone nothing is sent, in whichever state: a suspect ruled out, with a test

Suspect: a request that asks the counter or has an attempt out is only marked. Read: every way from there to a send looks at the mark (attemptEnded, conclude), and one that waits leaves its queue. Change: RulesTest plays all outcomes over an attempt, a further one, a call and the queue, for three classes.

--- a/edge/src/test/java/thistlefall/RulesTest.java
+++ b/edge/src/test/java/thistlefall/RulesTest.java
@@ -82,6 +82,52 @@
         assertEquals(List.of(), host.failed);
     }
 
+    /** In whichever state its client leaves, and however what was under way then ends. */
+    @ParameterizedTest
+    @EnumSource(Outcome.class)
+    void nothingBeginsForAClientThatLeftInAnyState(Outcome outcome) {
+        for (int requestClass : new int[] {SAFE, UNSAFE, KEYED_ALL}) {
+            // An attempt is out, the first or a further one.
+            Host out = new Host(Host.FREE, 1, 0).servers(4);
+            String first = out.request(requestClass, 1);
+            String further = out.request(requestClass, 1);
+            out.end(further, Outcome.FULL, false);
+            out.gateway.clientGone(out.now, first);
+            out.gateway.clientGone(out.now, further);
+            int sent = out.sent.size();
+            out.end(first, outcome, false);
+            out.end(further, outcome, false);
+            out.pass(4_000 * MS);
+            assertEquals(sent, out.sent.size(), outcome + " of an attempt");
+            // The counter is asked.
+            Host asking = new Host(new Plan(5, 5, 0, 1, 0, 1, 0, 0, 0), 2, 0).servers(4);
+            String asked = asking.request(requestClass, 0, 1, 1, asking.now + 3_000 * MS);
+            for (long customer = 2; !asking.attempts(asked).isEmpty(); customer++) {
+                asking.end(asked, Outcome.OK);
+                asking.pass(1_000 * MS);
+                asking.counted.clear();
+                asked = asking.request(requestClass, 0, customer, 1, asking.now + 3_000 * MS);
+            }
+            asking.gateway.clientGone(asking.now, asked);
+            asking.gateway.counted(asking.now, asking.counted.get(asking.counted.size() - 1).name(), outcome, 1);
+            asking.pass(4_000 * MS);
+            assertEquals(List.of(), asking.attempts(asked), outcome + " of a call");
+            assertFalse(asking.refused.contains(asked));
+            // It waits in its queue, and places come free.
+            Host queued = new Host(Host.FREE, 1, 0).servers(1);
+            List<String> before = new ArrayList<>();
+            String waits = queued.request(requestClass, 1);
+            while (!queued.attempts(waits).isEmpty()) {
+                before.add(waits);
+                waits = queued.request(requestClass, 1);
+            }
+            queued.gateway.clientGone(queued.now, waits);
+            before.forEach(id -> queued.end(id, outcome, true));
+            queued.pass(4_000 * MS);
+            assertEquals(List.of(), queued.attempts(waits), outcome + " of those before it");
+        }
+    }
+
     @ParameterizedTest
     @EnumSource(value = Outcome.class, names = {"OK"}, mode = EnumSource.Mode.EXCLUDE)
     void unsafeGoesOutAgainOnlyWhenItNeverRan(Outcome outcome) {
