Descriptors for all watches; idle clients to the brim while discovery is away, a test

Need: up to three watches are open at once where two were counted; and idle clients may fill the descriptors while discovery is down. Change: three for discovery, 23 in place of 24 in reserve (19 counted with a warm-up), so that clients keep theirs. ConnectionsTest: a process with 256 descriptors, 500 resting clients, watches that hang; the list is followed again, newcomers are served, the counter called, operators answered, no descriptor is ever missing. whoEndsItsSendingGetsItsAnswers now sees both clients end their sending at once, where the pipelining one was paused before: 2 for 1.

--- a/edge/src/main/java/thistlefall/node/connections/Budget.java
+++ b/edge/src/main/java/thistlefall/node/connections/Budget.java
@@ -3,6 +3,7 @@
 import io.netty.util.internal.PlatformDependent;
 import java.util.ArrayList;
 import java.util.List;
+import thistlefall.node.discovery.Watches;
 
 /**
  * The one budget of descriptors of a process, and of the bytes of bodies that are held. All processes of an edge node
@@ -20,9 +21,9 @@
 public record Budget(int clients, int lane, int archiveServers, int perArchiveServer, int operators, int heldBytes,
                      long idle, List<String> clamped) {
     /** Standard streams, class archive, slots, two loops and the warm-up's, listening sockets, files being read. */
-    static final int RESERVE = 24;
-    /** Four lines each, and as many again while a new address is followed. */
-    static final int COUNTER = 8, DISCOVERY = 2;
+    static final int RESERVE = 23;
+    /** Four lines, and as many again while a new address is followed; all watches that may be open at once. */
+    static final int COUNTER = 8, DISCOVERY = Watches.MOST;
     private static final int LEAST_CLIENTS = 8, LEAST_LANE = 2, LEAST_SERVERS = 4, LEAST_OPERATORS = 4, MOST_OPERATORS = 32;
     /** Of what is left: clients hold a third of all descriptors for requests, and others may come. */
     private static final double CLIENTS = 0.6, LANE = 0.1;
--- a/edge/src/test/java/thistlefall/node/ConnectionsTest.java
+++ b/edge/src/test/java/thistlefall/node/ConnectionsTest.java
@@ -14,6 +14,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -27,6 +28,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
@@ -302,7 +304,7 @@
         Socket single = client(node);
         order(single, "t-single");
         single.shutdownOutput();
-        await(node, "connections.half_closed", 1);
+        await(node, "connections.half_closed", 2);
         go.complete(null);
         for (int i = 0; i < 3; i++) {
             assertEquals("t-" + i, answer(client).body());
@@ -595,6 +597,75 @@
         assertTrue(process.isAlive());
     }
 
+    /** Idle clients to the brim while discovery is away: its line, the counter's, servers' and operators' are kept free. */
+    @Test
+    void idleClientsKeepNobodyElseFromTheDescriptors() throws Exception {
+        Peer leaves = peer(m -> m.answer(Peer.ok("", "first")));
+        Peer stays = peer(m -> m.answer(Peer.ok("", "second")));
+        CompletableFuture<Void> never = new CompletableFuture<>();
+        AtomicBoolean away = new AtomicBoolean(true);
+        String change = "{\"revision\":6,\"complete\":false,\"members\":[" + member("s-0", leaves.address(), "Terminating", 0) + ","
+            + member("s-1", stays.address(), "Ready", 0) + "]}\n";
+        discovery = peer(m -> {
+            if (discovery.seen.size() > 1 && away.get()) {
+                never.join();
+            }
+            String told = away.get() ? "\n" : change;
+            m.answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(told.length()) + "\r\n" + told + "\r\n");
+            never.join();
+        });
+        int opsPort;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            opsPort = free.getLocalPort();
+        }
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config(member("s-0", leaves.address(), "Ready", 0)).replace("1024", "256")
+            .replace("\"counter\"", "\"ops\":\"127.0.0.1:" + opsPort + "\",\"counter\""));
+        Process process = serve(file, List.of("sh", "-c", "ulimit -n 256; exec \"$0\" \"$@\""));
+        InetSocketAddress at = servingAt(process);
+        List<Socket> idle = new ArrayList<>();
+        toClose.add(() -> {
+            for (Socket one : idle) {
+                one.close();
+            }
+        });
+        for (int i = 0; i < 500; i++) {
+            idle.add(from(1 + i % 4, at));
+        }
+        // Until watches were opened, and closed, beside one that hangs.
+        while (discovery.accepted() < 8) {
+            assertTrue(call(opsPort, "vars").contains("app.connections.open="), "operators are answered");
+        }
+        assertEquals("first", answered(at));
+        away.set(false);
+        String served;
+        do {
+            served = answered(at);
+        } while (!served.equals("second"));
+        assertTrue(counter.accepted() > 0, "the counter is called");
+        assertEquals(0, exhausted(opsPort), "the budget keeps below the bound");
+        assertTrue(process.isAlive());
+    }
+
+    /** The body of the answer to a newcomer, who comes again where a connection ends without one. */
+    private static String answered(InetSocketAddress at) throws IOException {
+        Map<String, String> headers = headers("t-" + System.nanoTime(), "lookup", "20000");
+        headers.put("Cookie", String.format("customer=%016x", System.nanoTime() % 100_000));
+        headers.put("X-Quota", "units=1,spread=2,first=0");
+        while (true) {
+            try (Socket client = from(9, at)) {
+                write(client, "GET /api", headers, "");
+                Peer.Message answer = Peer.read(client);
+                if (answer != null) {
+                    assertEquals("200", status(answer));
+                    return answer.body();
+                }
+            } catch (SocketException e) {
+                // There was no place: it comes again, as clients do.
+            }
+        }
+    }
+
     private static long exhausted(int opsPort) throws IOException {
         String text = call(opsPort, "vars");
         int from = text.indexOf("descriptors_exhausted=") + "descriptors_exhausted=".length();
