An upgrade's new process has taken the clients' slot when it says so

Need: the slot is taken on the loop since the mend of signals in a start, and EdgeNode.succeed returned before that: the old process, told to end just then, would have drained as if it had no successor (UpgradeTest failed so). Change: admit returns when it is done. Measured: UpgradeTest, OpsServerTest pass.

--- a/edge/src/main/java/thistlefall/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/node/EdgeNode.java
@@ -352,15 +352,16 @@
         });
     }
 
-    /** From now on the front may send here. */
+    /** From now on the front may send here, unless the process ends; not for the loop's thread. */
     void admit() {
-        loop.execute(() -> {
+        // Done when this returns: whoever then tells the other process to end counts on it.
+        loop.submit(() -> {
             if (!clients.stopping()) {
                 slots.take(true);
                 admitted = true;
                 taking = true;
             }
-        });
+        }).syncUninterruptibly();
     }
 
     /** Whether the process ends; any thread. */
