--- a/edge/src/main/java/thistlefall/node/connections/Clients.java
+++ b/edge/src/main/java/thistlefall/node/connections/Clients.java
@@ -403,8 +403,10 @@
 
         /** The last answer is out, and nothing more is sent: its place is free for others. */
         public void lingering() {
-            turnedAway.remove(this);
-            lingering.add(this);
+            if (!over) {
+                turnedAway.remove(this);
+                lingering.add(this);
+            }
         }
 
         /** An answer is written, and is not out yet. */
