--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/cli/Scale.java
@@ -0,0 +1,86 @@
+package thistlefall.lab.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.LocalDate;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.function.Consumer;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import thistlefall.lab.scale.ModelScale;
+import thistlefall.lab.scale.Point;
+import thistlefall.lab.scale.ScaleFile;
+import thistlefall.lab.scale.ScaleResult;
+import thistlefall.lab.scenario.Scenario;
+
+/** Fleets of several sizes, one after the other, and what each measured. */
+@Command(name = "scale", mixinStandardHelpOptions = true, description = "Plays fleets of a file's sizes and writes what each measured.",
+    subcommands = ScaleReport.class)
+final class Scale implements Callable<Integer> {
+    private static final double SECOND = 1e9;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Parameters(paramLabel = "FILE", arity = "0..1", description = "the sizes")
+    private Path file;
+
+    @Option(names = "--side", description = "model or sockets; both if left out")
+    private Point.Side side;
+
+    @Option(names = "--seeds", paramLabel = "A..B", description = "both ends included; the file's one if left out")
+    private Seeds seeds;
+
+    @Option(names = "--out", paramLabel = "DIR", description = "where scale.json goes; target/scale/NAME if left out")
+    private Path out;
+
+    /** One play. */
+    private record Planned(String text, Callable<Point> play) {
+    }
+
+    @Override
+    public Integer call() throws Exception {
+        if (file == null) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "FILE is wanted");
+        }
+        try {
+            ScaleFile read = ScaleFile.read(file);
+            List<Point> points = new ArrayList<>();
+            List<Planned> plays = plays(read);
+            String date = LocalDate.now().toString(), command = String.join(" ", spec.root().commandLine().getParseResult().originalArgs());
+            Path folder = out != null ? out : Path.of("target", "scale", read.name());
+            for (Planned one : plays) {
+                long begun = System.nanoTime();
+                System.out.println(points.size() + 1 + " of " + plays.size() + ": " + one.text);
+                points.add(one.play.call());
+                // After each: a play that is broken off leaves what was measured before it.
+                new ScaleResult(read, date, command, List.copyOf(points)).write(folder);
+                System.out.printf(Locale.ROOT, "took %.1f s%n", (System.nanoTime() - begun) / SECOND);
+            }
+            System.out.println(folder.resolve(ScaleResult.NAME));
+            return 0;
+        } catch (Scenario.Invalid | IOException e) {
+            System.err.println(file + ": " + e.getMessage());
+            return 2;
+        }
+    }
+
+    private List<Planned> plays(ScaleFile read) {
+        List<Planned> plays = new ArrayList<>();
+        Consumer<String> progress = System.out::println;
+        for (long seed : (seeds == null ? new Seeds(read.seed(), read.seed()) : seeds).all().toArray()) {
+            if (side != Point.Side.SOCKETS && read.model() != null) {
+                read.model().sizes().forEach(size -> plays.add(new Planned("model, seed " + seed + ", " + size,
+                    () -> ModelScale.play(read, size, seed, progress))));
+            }
+        }
+        return plays;
+    }
+}
--- a/lab/src/main/java/thistlefall/lab/fleet/Topology.java
+++ b/lab/src/main/java/thistlefall/lab/fleet/Topology.java
@@ -1,7 +1,9 @@
 package thistlefall.lab.fleet;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import thistlefall.lab.net.Party;
 import thistlefall.lab.net.Party.Role;
 
@@ -17,16 +19,27 @@
  */
 public record Topology(List<String> zones, List<Party> nodes, List<Party> servers, Party front, Party counter,
                        Party discovery) {
+    private static final String REGION = "region", OUTSIDE = "outside";
+
     /** So many nodes and servers spread evenly over zones of one region; the counter stands in the first zone. */
     public static Topology even(List<String> zones, int nodes, int servers) {
-        return new Topology(zones, spread("n", nodes, zones, Role.NODE), spread("s", servers, zones, Role.SERVER), new Party("front", "outside", "outside", Role.OTHER),
-            new Party("counter", zones.get(0), "region", Role.OTHER), new Party("discovery", "outside", "outside", Role.OTHER));
+        return even(zones, nodes, servers, Map.of(REGION, zones));
+    }
+
+    /** The same over several regions; each of {@code zones} is in one of them. */
+    public static Topology even(List<String> zones, int nodes, int servers, Map<String, List<String>> regions) {
+        Map<String, String> regionOf = new HashMap<>();
+        regions.forEach((region, its) -> its.forEach(zone -> regionOf.put(zone, region)));
+        return new Topology(zones, spread("n", nodes, zones, regionOf, Role.NODE), spread("s", servers, zones, regionOf, Role.SERVER),
+            new Party("front", OUTSIDE, OUTSIDE, Role.OTHER), new Party("counter", zones.get(0), regionOf.get(zones.get(0)), Role.OTHER),
+            new Party("discovery", OUTSIDE, OUTSIDE, Role.OTHER));
     }
 
-    private static List<Party> spread(String prefix, int count, List<String> zones, Role role) {
+    private static List<Party> spread(String prefix, int count, List<String> zones, Map<String, String> regionOf, Role role) {
         List<Party> all = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            all.add(new Party(prefix + i, zones.get(i % zones.size()), "region", role));
+            String zone = zones.get(i % zones.size());
+            all.add(new Party(prefix + i, zone, regionOf.get(zone), role));
         }
         return all;
     }
--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/scale/ScaleFile.java
@@ -0,0 +1,171 @@
+package thistlefall.lab.scale;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import thistlefall.lab.scenario.Scenario;
+import thistlefall.lab.scenario.YamlFile;
+
+/**
+ * The file of {@code lab scale}, in YAML: what fleets are made of, and the sizes at which they are played. Spans ending in
+ * {@code S} are seconds.
+ *
+ * @param seed the first seed; further plays of a size take the next ones
+ * @param regions the zones of each region, by its name
+ * @param servers what archive servers are made of
+ * @param load classes and plans; a plan's {@code customers} is its part of a size's tenants, and its {@code use} and a class's
+ *     {@code work-ms} tell how these stand to each other: a size makes them fit its requests and {@code busy}
+ * @param busy the part of the archive servers' capacity that requests need at each size, above 0, below 1
+ * @param idleS after how long archive servers close an idle connection; edge nodes end it a while before
+ * @param model the sizes on virtual time; null for none
+ * @param sockets the sizes over loopback; null for none
+ */
+public record ScaleFile(String name, long seed, Map<String, List<String>> regions, Scenario.Servers servers, Scenario.Counter counter,
+                        Scenario.Traffic load, double busy, double idleS, ModelSizes model, SocketsSizes sockets) {
+    private static final double MOST_SPAN_S = 600, MS = 1e3, LEAST_USE = 0.01;
+
+    /**
+     * Sizes on virtual time.
+     *
+     * @param fromS from when on figures count: by then connections and the budget of calls have come to rest
+     * @param spanS for how long requests arrive
+     */
+    public record ModelSizes(double fromS, double spanS, List<ModelSize> sizes) {
+        /** Checks its ranges; the message names the figure. */
+        public ModelSizes {
+            spans(fromS, spanS);
+            check(!sizes.isEmpty(), "sizes is empty");
+        }
+    }
+
+    /**
+     * A size on virtual time.
+     *
+     * @param services how many services the archive servers belong to; the program knows one list, so it changes no play
+     * @param tenants customers, over all plans
+     * @param requestsPerS requests a second, over all edge nodes
+     */
+    public record ModelSize(int nodes, int servers, int services, int tenants, double requestsPerS) {
+        /** Checks its ranges; the message names the figure. */
+        public ModelSize {
+            check(nodes >= 1, "nodes is not 1 or more");
+            check(services >= 1 && services <= servers, "services is not 1 to the servers, " + servers);
+            check(tenants >= 1, "tenants is not 1 or more");
+            check(requestsPerS > 0, "requests-per-s is not above 0");
+        }
+
+        /** What tells it from others, as a point has it. */
+        public SortedMap<String, Double> key() {
+            return new TreeMap<>(Map.of("nodes", (double) nodes, "servers", (double) servers, "services", (double) services, "tenants",
+                (double) tenants, "requests-per-s", requestsPerS));
+        }
+    }
+
+    /** Sizes over loopback; as {@link ModelSizes}. */
+    public record SocketsSizes(double fromS, double spanS, List<SocketsSize> sizes) {
+        /** Checks its ranges; the message names the figure. */
+        public SocketsSizes {
+            spans(fromS, spanS);
+            check(!sizes.isEmpty(), "sizes is empty");
+        }
+    }
+
+    /**
+     * A size over loopback.
+     *
+     * @param real edge nodes that are processes of their own
+     * @param hollow edge nodes that share one process
+     * @param requestsPerS requests a second, over all edge nodes; 0 for none
+     */
+    public record SocketsSize(int real, int hollow, int servers, double requestsPerS) {
+        /** Checks its ranges; the message names the figure. */
+        public SocketsSize {
+            check(real >= 0 && hollow >= 0 && real + hollow >= 1, "real and hollow are not 0 or more, and 1 together");
+            check(servers >= 1, "servers is not 1 or more");
+            check(requestsPerS >= 0, "requests-per-s is below 0");
+        }
+
+        /** What tells it from others, as a point has it. */
+        public SortedMap<String, Double> key() {
+            return new TreeMap<>(Map.of("nodes", (double) real + hollow, "real", (double) real, "hollow", (double) hollow, "servers",
+                (double) servers, "requests-per-s", requestsPerS));
+        }
+    }
+
+    /** Checks its ranges, and that its parts fit each other; the message names the key. */
+    public ScaleFile {
+        check(!regions.isEmpty(), "regions is empty");
+        check(busy > 0 && busy < 1, "busy is not above 0 and below 1");
+        check(idleS > 0, "idle-s is not above 0");
+        check(model != null || sockets != null, "model or sockets is wanted");
+        List<String> zones = regions.values().stream().flatMap(List::stream).sorted().toList();
+        check(zones.stream().distinct().count() == zones.size() && !zones.isEmpty(), "regions has a zone twice, or none");
+        List<ModelSize> sizes = model == null ? List.of() : model.sizes;
+        for (int i = 0; i < sizes.size(); i++) {
+            try {
+                scenario(name, seed, regions, servers, counter, load, busy, model.spanS, sizes.get(i));
+            } catch (IllegalArgumentException e) {
+                throw new IllegalArgumentException("model.sizes." + i + " " + e.getMessage(), e);
+            }
+        }
+        List<SocketsSize> real = sockets == null ? List.of() : sockets.sizes;
+        for (int i = 0; i < real.size(); i++) {
+            check(real.get(i).servers >= zones.size(), "sockets.sizes." + i + " has fewer servers than zones: " + zones.size());
+        }
+    }
+
+    /** Reads and checks a whole file. */
+    public static ScaleFile read(Path file) throws Scenario.Invalid {
+        return YamlFile.read(file, ScaleFile.class);
+    }
+
+    /** What a size of the model plays, calm. */
+    public Scenario scenario(ModelSize size, long withSeed) {
+        return scenario(name, withSeed, regions, servers, counter, load, busy, model.spanS, size);
+    }
+
+    private static Scenario scenario(String name, long seed, Map<String, List<String>> regions, Scenario.Servers servers, Scenario.Counter counter,
+                                     Scenario.Traffic load, double busy, double spanS, ModelSize size) {
+        List<String> zones = regions.values().stream().flatMap(List::stream).sorted().toList();
+        check(size.nodes >= zones.size() && size.servers >= zones.size(), "has fewer nodes or servers than zones: " + zones.size());
+        double parts = load.plans().stream().mapToInt(Scenario.Customers::customers).sum();
+        check(parts > 0, "has no customers: load.plans has none");
+        List<Scenario.Customers> plans = new ArrayList<>();
+        double asked = 0;
+        for (Scenario.Customers plan : load.plans()) {
+            int customers = (int) Math.round(size.tenants * plan.customers() / parts);
+            plans.add(with(plan, customers, plan.use()));
+            asked += customers * plan.rate() * plan.use();
+        }
+        double times = size.requestsPerS / asked;
+        plans.replaceAll(plan -> with(plan, plan.customers(), plan.use() * times));
+        double most = plans.stream().mapToDouble(Scenario.Customers::use).max().orElseThrow();
+        check(most >= LEAST_USE && most <= 1, "has tenants and requests-per-s that don't fit: its plans would be used by " + most + ", not "
+            + LEAST_USE + " to 1");
+        double shares = load.classes().stream().mapToDouble(Scenario.Kind::share).sum();
+        double work = load.classes().stream().mapToDouble(kind -> kind.share() * kind.workMs()).sum() / shares;
+        double wanted = busy * servers.cores() * size.servers / size.requestsPerS * MS;
+        List<Scenario.Kind> classes = load.classes().stream().map(kind -> new Scenario.Kind(kind.name(), kind.share(), kind.keyed(), kind.aimS(),
+            kind.deadlineS(), kind.workMs() * wanted / work, kind.worth())).toList();
+        return new Scenario(name, seed, spanS, new Scenario.Fleet(zones, size.nodes, size.servers, regions), servers, counter,
+            new Scenario.Traffic(load.shiftS(), load.skew(), load.noticeS(), classes, plans, load.retries()), null, List.of(), 0);
+    }
+
+    private static Scenario.Customers with(Scenario.Customers plan, int customers, double use) {
+        return new Scenario.Customers(plan.name(), customers, plan.rate(), plan.burst(), plan.price(), plan.ceiling(), use, plan.spread());
+    }
+
+    private static void spans(double fromS, double spanS) {
+        check(spanS > 0 && spanS <= MOST_SPAN_S, "span-s is not above 0 and up to " + MOST_SPAN_S);
+        check(fromS >= 0 && fromS < spanS, "from-s is not 0 or more and below span-s");
+    }
+
+    private static void check(boolean holds, String message) {
+        if (!holds) {
+            throw new IllegalArgumentException(message);
+        }
+    }
+}
