The model counts a play of any size as it goes, without keeping its history

Need: at 950 x 8,900 a play's events, its arrivals on the timeline and one list of entries for each node don't fit beside what the module holds. Change: Model.measured hears events as they happen; a Meter counts connections, calls to the counter, added time and the module's processor time by activity; a Tally in lab.scale forgets each try when it is over and keeps quotas as one who sees all would; nodes share the list's entries; only the next arrival waits on the timeline; idle connections may end (the scale file's idle-s).

--- a/edge/src/main/java/thistlefall/node/connections/Servers.java
+++ b/edge/src/main/java/thistlefall/node/connections/Servers.java
@@ -71,9 +71,14 @@
         this.host = host;
         this.counts = counts;
         random = new SplittableRandom(seed);
+        keep = kept(keepAlive);
+    }
+
+    /** For how long an idle connection is kept whose other side closes it after {@code keepAlive}; both in nanoseconds. */
+    public static long kept(long keepAlive) {
         // A request written to a connection that the other side closes ends as a reset: stay well ahead of it, by more
         // than its answer was on its way here.
-        keep = Math.max(keepAlive / 2, keepAlive - Math.max(1_000 * MS, keepAlive / 10));
+        return Math.max(keepAlive / 2, keepAlive - Math.max(1_000 * MS, keepAlive / 10));
     }
 
     /** Follows a new budget; idle connections beyond it go. */
--- a/lab/src/main/java/thistlefall/lab/load/Arrivals.java
+++ b/lab/src/main/java/thistlefall/lab/load/Arrivals.java
@@ -58,6 +58,11 @@
         return List.copyOf(all.drawn);
     }
 
+    /** The request, of those that {@link #draw} drew, that a try's id belongs to. */
+    public static Arrival of(List<Arrival> drawn, String id) {
+        return drawn.get(Integer.parseInt(Retries.request(id).substring(1)));
+    }
+
     private void customer(int plan, SplittableRandom chance) {
         Plan of = terms.plans.get(plan);
         long customer = chance.nextLong(CUSTOMERS);
--- a/lab/src/main/java/thistlefall/lab/model/ClientsHost.java
+++ b/lab/src/main/java/thistlefall/lab/model/ClientsHost.java
@@ -1,6 +1,7 @@
 package thistlefall.lab.model;
 
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.function.Consumer;
 import thistlefall.Ports.Request;
@@ -30,16 +31,27 @@
         this.nodes = nodes;
         this.asking = asking;
         this.history = history;
-        nodes.forEach(node -> pools.add(new Pool(timeline, network, party, node, CONNECT)));
+        nodes.forEach(node -> pools.add(new Pool(timeline, network, party, node, CONNECT, Pool.EVER, new Meter())));
     }
 
     /** Sends all at their times from now on. */
     void play(List<Arrival> arrivals) {
         long begun = timeline.now();
-        arrivals.forEach(one -> timeline.at(begun + one.at(), () -> new Try(asking.first(one, timeline.now())).start()));
+        next(arrivals.iterator(), begun);
         timeline.after(HEALTH, this::askHealth);
     }
 
+    /** Only the next one waits on the timeline: all of a large fleet's would fill it. */
+    private void next(Iterator<Arrival> arrivals, long begun) {
+        if (arrivals.hasNext()) {
+            Arrival one = arrivals.next();
+            timeline.at(begun + one.at(), () -> {
+                next(arrivals, begun);
+                new Try(asking.first(one, timeline.now())).start();
+            });
+        }
+    }
+
     private void askHealth() {
         for (int i = 0; i < nodes.size(); i++) {
             if (asking.front().doubted(i)) {
--- a/lab/src/main/java/thistlefall/lab/model/Model.java
+++ b/lab/src/main/java/thistlefall/lab/model/Model.java
@@ -1,10 +1,12 @@
 package thistlefall.lab.model;
 
 import java.io.IOException;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -16,7 +18,7 @@
 import thistlefall.lab.fleet.Topology;
 import thistlefall.lab.judge.Event;
 import thistlefall.lab.load.Arrival;
-import thistlefall.lab.load.Retries;
+import thistlefall.lab.load.Arrivals;
 import thistlefall.lab.net.Conditions;
 import thistlefall.lab.net.Faults;
 import thistlefall.lab.net.Party;
@@ -39,8 +41,13 @@
     private static final long START = 1_000_000_000_000L;
     /** Long enough for all nodes to be ready, as a play on processes waits for them. */
     private static final long SETTLE = 3_000_000_000L;
+    /** When the first request may arrive, on the clock of a play's events. */
+    public static final long BEGUN = START + SETTLE;
     private static final long END = 1_000_000_000L;
-    private static final double CORES = 4;
+    private static final double CORES = 4, SECOND = 1e9;
+    private static final long MB = 1 << 20;
+    /** How often a change of the list is measured at each node, after the play. */
+    private static final int CHANGES = 5;
 
     private final Scenario scenario;
     private final List<Arrival> arrivals;
@@ -49,54 +56,130 @@
     private final Faults faults = new Faults();
     private final SplittableRandom chance;
     private final Network network;
-    private final List<Event> history = new ArrayList<>();
+    private final Consumer<Event> history;
+    private final Meter meter = new Meter();
     private final Map<String, ServerHost> servers = new LinkedHashMap<>();
     private final List<NodeHost> nodes = new ArrayList<>();
     private final CounterHost counter;
+    /** What discovery tells; null to be made anew. */
+    private List<Server> listed;
+    private final ArrayDeque<Script.Step> steps = new ArrayDeque<>();
 
-    private Model(Scenario scenario, Consumer<String> log) throws IOException {
+    private Model(Scenario scenario, long keep, Consumer<Event> history, Consumer<String> log) throws IOException {
         this.scenario = scenario;
+        this.history = history;
         arrivals = scenario.arrivals();
         topology = scenario.topology().topology();
         chance = new SplittableRandom(scenario.seed());
         network = new Network(timeline, faults, chance.split());
         for (Party server : topology.servers()) {
-            servers.put(server.name(), new ServerHost(timeline, server, scenario.servers().terms(), history::add));
+            servers.put(server.name(), new ServerHost(timeline, server, scenario.servers().terms(), history));
         }
         counter = new CounterHost(timeline, topology.counter(), scenario.counter().terms());
-        Map<String, Long> works = new HashMap<>();
-        arrivals.forEach(one -> works.put(one.id(), one.work()));
         for (Party node : topology.nodes()) {
             Settings settings = SettingsReader.read(SettingsPairs.of(NodeConfig.settings(topology, scenario.told(), node)));
             nodes.add(new NodeHost(node, new NodeHost.Surroundings(timeline, network, settings, scenario.told().zones(), topology.zones(),
-                this::list, servers, counter, id -> works.get(Retries.request(id)), this::told, (who, text) -> log.accept(String.format("%.3f s %s: %s",
+                this::list, servers, counter, keep, meter, id -> Arrivals.of(arrivals, id).work(), this::told, (who, text) -> log.accept(String.format("%.3f s %s: %s",
                     (timeline.now() - START - SETTLE) / 1e9, who.name(), text))), chance.split()));
         }
     }
 
-    /** Plays a scenario from its start to its last answer; {@code log} hears the nodes' own lines. */
+    /** Plays a scenario from its start to its last answer and judges it; {@code log} hears the nodes' own lines. */
     public static Result of(Scenario scenario, Consumer<String> log) throws IOException, InterruptedException {
-        return new Model(scenario, log).play();
+        List<Event> history = new ArrayList<>();
+        Model model = new Model(scenario, Pool.EVER, history::add, log);
+        long begun = model.begin();
+        model.play(begun, begun + Math.max(model.longest(), model.steps.isEmpty() ? 0 : model.steps.getLast().at()));
+        model.servers.values().forEach(model::last);
+        return Result.of(scenario, model.arrivals, history, begun, model.timeline.now());
     }
 
-    private Result play() throws IOException, InterruptedException {
+    /**
+     * A play that keeps no history, so that a large fleet's fits into memory; nobody judges it.
+     *
+     * @param keep for how long edge nodes keep idle connections, in nanoseconds
+     * @param from from when on the meter counts, in nanoseconds from the first arrival; to the last arrival
+     * @param history hears each event when it happens, its clock as {@link #BEGUN} tells
+     * @param progress hears how far it is
+     */
+    public static Measured measured(Scenario scenario, long keep, long from, Consumer<Event> history, Consumer<String> progress)
+        throws IOException, InterruptedException {
+        long before = heap();
+        Model model = new Model(scenario, keep, history, line -> { });
+        long bare = heap();
+        long begun = model.begin();
+        double perNode = (heap() - bare) / (double) model.nodes.size();
+        progress.accept(String.format(Locale.ROOT, "%d requests drawn, %d nodes up, heap %d MB", model.arrivals.size(), model.nodes.size(), (heap() - before) / MB));
+        model.slices(begun, from, progress);
+        model.meter.on(true);
+        long wall = System.nanoTime();
+        model.slices(begun, (long) (scenario.spanS() * SECOND), progress);
+        wall = System.nanoTime() - wall;
+        model.meter.on(false);
+        Map<ServerHost, Integer> byServer = new HashMap<>();
+        int connections = model.nodes.stream().mapToInt(node -> node.connections(byServer)).sum();
+        long used = heap() - before;
+        Server first = model.list().get(0);
+        for (int i = 0; i < CHANGES; i++) {
+            model.nodes.forEach(node -> node.told(first));
+        }
+        return new Measured(model.meter, connections, byServer.values().stream().mapToInt(one -> one).max().orElse(0), perNode, used,
+            wall / (scenario.spanS() * SECOND - from));
+    }
+
+    /**
+     * What a measured play came to.
+     *
+     * @param connections to archive servers at the end, all together
+     * @param mostConnections to any one of them
+     * @param heapPerNode bytes that a node's module holds with its list, before any request
+     * @param heap bytes that the whole play held at the end
+     * @param pace how many seconds of the machine a second took
+     */
+    public record Measured(Meter meter, int connections, int mostConnections, double heapPerNode, long heap, double pace) {
+    }
+
+    /** What is in use once all that nobody holds is gone. */
+    private static long heap() {
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
+    /** Starts all; when the first request may come. */
+    private long begin() {
         nodes.forEach(NodeHost::start);
-        timeline.run(START + SETTLE);
-        long begun = timeline.now();
-        new ClientsHost(timeline, network, topology.front(), nodes, scenario.asking(), history::add).play(arrivals);
-        for (Script.Step step : Script.of(scenario, this)) {
+        timeline.run(BEGUN);
+        new ClientsHost(timeline, network, topology.front(), nodes, scenario.asking(), history).play(arrivals);
+        steps.addAll(Script.of(scenario, this));
+        return timeline.now();
+    }
+
+    private long longest() {
+        return END + arrivals.stream().mapToLong(one -> one.at() + one.deadline()).max().orElse(0);
+    }
+
+    /** Plays on to a moment, second by second. */
+    private void slices(long begun, long until, Consumer<String> progress) throws IOException, InterruptedException {
+        long wall = System.nanoTime();
+        while (timeline.now() < begun + until) {
+            play(begun, Math.min(begun + until, timeline.now() + (long) SECOND));
+            progress.accept(String.format(Locale.ROOT, "%.0f of %.0f s, %.1f s of the machine, %d MB", (timeline.now() - begun) / SECOND,
+                scenario.spanS(), (System.nanoTime() - wall) / SECOND, (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) / MB));
+        }
+    }
+
+    private void play(long begun, long until) throws IOException, InterruptedException {
+        while (!steps.isEmpty() && begun + steps.peek().at() <= until) {
+            Script.Step step = steps.poll();
             timeline.run(begun + step.at());
             step.change().make();
         }
-        long longest = arrivals.stream().mapToLong(one -> one.at() + one.deadline()).max().orElse(0);
-        timeline.run(begun + longest + END);
-        servers.values().forEach(this::last);
-        return Result.of(scenario, arrivals, history, begun, timeline.now());
+        timeline.run(until);
     }
 
     private void die(ServerHost server) {
         last(server);
-        history.add(new Event.Died(now(), server.party().name()));
+        history.accept(new Event.Died(now(), server.party().name()));
         server.kill();
     }
 
@@ -105,7 +188,10 @@
     }
 
     private List<Server> list() {
-        return servers.values().stream().map(this::entry).toList();
+        if (listed == null) {
+            listed = servers.values().stream().map(this::entry).toList();
+        }
+        return listed;
     }
 
     private Server entry(ServerHost of) {
@@ -121,7 +207,7 @@
 
     @Override
     public void seen(Event event) {
-        history.add(event);
+        history.accept(event);
     }
 
     @Override
@@ -180,7 +266,7 @@
             }
             if (what == Trouble.DRAIN || what == Trouble.KILL) {
                 server.start();
-                history.add(new Event.Started(now(), server.party().name()));
+                history.accept(new Event.Started(now(), server.party().name()));
                 tell(server);
             }
         }
@@ -195,19 +281,20 @@
     }
 
     private void lost(NodeHost node, long span) {
-        history.add(new Event.Lost(now(), node.party().name(), now() + span + Script.GRACE));
+        history.accept(new Event.Lost(now(), node.party().name(), now() + span + Script.GRACE));
     }
 
     private void tell(ServerHost server) {
+        listed = null;
         Server entry = entry(server);
         timeline.after(Script.TOLD, () -> nodes.forEach(node -> node.told(entry)));
     }
 
     private void told(Party node, Server entry) {
         if (entry.readiness() != Readiness.READY) {
-            history.add(new Event.Told(now(), node.name(), entry.id()));
+            history.accept(new Event.Told(now(), node.name(), entry.id()));
         } else if (entry.startedAt() > 0) {
-            history.add(new Event.Learned(now(), node.name(), entry.id()));
+            history.accept(new Event.Learned(now(), node.name(), entry.id()));
         }
     }
 
--- a/lab/src/main/java/thistlefall/lab/model/Network.java
+++ b/lab/src/main/java/thistlefall/lab/model/Network.java
@@ -21,6 +21,11 @@
         this.chance = chance;
     }
 
+    /** How long a message is under way where nothing is wrong, in nanoseconds. */
+    static long hop() {
+        return HOP.delay();
+    }
+
     /** Lets something happen at the other end when word of it has come there. */
     void pass(Party from, Party to, Runnable arrives) {
         Stream<Runnable> stream = new Stream<>(chance);
--- a/lab/src/main/java/thistlefall/lab/model/NodeHost.java
+++ b/lab/src/main/java/thistlefall/lab/model/NodeHost.java
@@ -16,6 +16,7 @@
 import thistlefall.Ports.Result;
 import thistlefall.Ports.Server;
 import thistlefall.Ports.Settings;
+import thistlefall.lab.model.Meter.Activity;
 import thistlefall.lab.net.Party;
 import thistlefall.lab.stand.ArchiveServer.Ending;
 import thistlefall.node.zones.ZoneSettings;
@@ -32,9 +33,9 @@
         void died();
     }
 
-    /** What a node is told at each of its starts, and where it reaches whom. */
+    /** What a node is told at each of its starts, and where it reaches whom; it keeps idle connections for {@code keep} nanoseconds. */
     record Surroundings(Timeline timeline, Network network, Settings settings, ZoneSettings zones, List<String> zoneNames,
-                        Supplier<List<Server>> list, Map<String, ServerHost> servers, CounterHost counter,
+                        Supplier<List<Server>> list, Map<String, ServerHost> servers, CounterHost counter, long keep, Meter meter,
                         ToLongFunction<String> work, BiConsumer<Party, Server> told, BiConsumer<Party, String> log) {
     }
 
@@ -52,6 +53,7 @@
         final Request request;
         final Client client;
         final boolean keyed;
+        final long takenAt = timeline.now();
         Attempt attempt;
         int attempts;
         boolean answered;
@@ -67,6 +69,8 @@
         final Open of;
         final ServerHost server;
         final long sentAt = timeline.now();
+        /** How long its server had it. */
+        long served;
         boolean written, over;
 
         Attempt(Open of, ServerHost server) {
@@ -78,6 +82,7 @@
     private final Party party;
     private final Surroundings around;
     private final Timeline timeline;
+    private final Meter meter;
     private final SplittableRandom chance;
     private final Map<String, Open> open = new LinkedHashMap<>();
     private final Map<ServerHost, Pool> pools = new LinkedHashMap<>();
@@ -94,6 +99,7 @@
         this.around = around;
         this.chance = chance;
         timeline = around.timeline;
+        meter = around.meter;
     }
 
     @Override
@@ -126,7 +132,7 @@
         known.forEach(entry -> around.told.accept(party, entry));
         soon(LISTENS, () -> {
             gateway = new Gateway(around.settings, chance.nextLong(), timeline.now(), this);
-            gateway.list(timeline.now(), ListKind.CACHED, known);
+            meter.time(Activity.FIRST_LIST, () -> gateway.list(timeline.now(), ListKind.CACHED, known));
             if (around.zones != null) {
                 verdicts = new ZoneVerdicts(around.zones, around.settings, around.zoneNames, chance.nextLong(), timeline.now(), gateway, this);
                 judge();
@@ -134,7 +140,8 @@
         });
         soon(HEARD, () -> {
             if (!deaf) {
-                gateway.list(timeline.now(), ListKind.FULL, around.list.get());
+                List<Server> whole = around.list.get();
+                meter.time(Activity.WHOLE_LIST, () -> gateway.list(timeline.now(), ListKind.FULL, whole));
             }
         });
         soon(READY, () -> ready = true);
@@ -238,7 +245,7 @@
     private void hear(Server entry) {
         if (gateway != null) {
             around.told.accept(party, entry);
-            gateway.list(timeline.now(), ListKind.DELTA, List.of(entry));
+            meter.time(Activity.CHANGE, () -> gateway.list(timeline.now(), ListKind.DELTA, List.of(entry)));
         }
     }
 
@@ -259,7 +266,23 @@
                 gone(request.id());
             }
         });
-        gateway.request(timeline.now(), request);
+        meter.time(Activity.REQUEST, () -> gateway.request(timeline.now(), request));
+    }
+
+    /** Connections to archive servers now, in use and idle, added up by server. */
+    int connections(Map<ServerHost, Integer> byServer) {
+        int[] all = new int[1];
+        pools.forEach((server, pool) -> {
+            all[0] += pool.idle();
+            byServer.merge(server, pool.idle(), Integer::sum);
+        });
+        for (Open one : open.values()) {
+            if (one.attempt != null && one.attempt.written) {
+                all[0]++;
+                byServer.merge(one.attempt.server, 1, Integer::sum);
+            }
+        }
+        return all[0];
     }
 
     /** The client has left. */
@@ -293,13 +316,17 @@
 
     @Override
     public void send(String id, String server, long patience) {
+        meter.outside(() -> begin(id, server, patience));
+    }
+
+    private void begin(String id, String server, long patience) {
         Open of = open.get(id);
         ServerHost to = around.servers.get(server);
         Attempt attempt = new Attempt(of, to);
         of.attempt = attempt;
         of.attempts++;
         soon(patience, () -> end(attempt, attempt.written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED));
-        Pool pool = pools.computeIfAbsent(to, any -> new Pool(timeline, around.network, party, to, CONNECT));
+        Pool pool = pools.computeIfAbsent(to, any -> new Pool(timeline, around.network, party, to, CONNECT, around.keep, meter));
         int born = life;
         pool.take(new Pool.User() {
             @Override
@@ -329,9 +356,11 @@
                 back(attempt, () -> end(attempt, Outcome.RESET));
                 return;
             }
+            long arrived = timeline.now();
             to.arrive(id, attempt.of.keyed ? id : null, around.work.applyAsLong(id), new ServerHost.Caller() {
                 @Override
                 public void ended(Ending how) {
+                    attempt.served = timeline.now() - arrived;
                     back(attempt, () -> {
                         if (!attempt.over) {
                             pool.release(serverLife);
@@ -364,10 +393,11 @@
         attempt.over = true;
         of.attempt = null;
         if (outcome == Outcome.OK && !of.answered) {
+            meter.added(timeline.now() - of.takenAt - attempt.served - 2 * Network.hop());
             answer(of, OK, 0);
         }
-        gateway.attemptEnded(timeline.now(), new Result(of.request.id(), outcome, timeline.now() - attempt.sentAt,
-            attempt.server.party().name(), of.answered, of.attempts - 1, 0, List.of()));
+        meter.time(Activity.ANSWER, () -> gateway.attemptEnded(timeline.now(), new Result(of.request.id(), outcome, timeline.now() - attempt.sentAt,
+            attempt.server.party().name(), of.answered, of.attempts - 1, 0, List.of())));
         settle(of);
     }
 
@@ -382,13 +412,19 @@
     }
 
     private void decline(String id, int status, long advice) {
-        Open of = open.get(id);
-        answer(of, status, advice);
-        settle(of);
+        meter.outside(() -> {
+            Open of = open.get(id);
+            answer(of, status, advice);
+            settle(of);
+        });
     }
 
     @Override
     public void count(long name, double amount, long lifetime) {
+        meter.outside(() -> call(name, amount, lifetime));
+    }
+
+    private void call(long name, double amount, long lifetime) {
         boolean[] over = new boolean[1];
         int of = life;
         CounterHost counter = around.counter;
@@ -403,16 +439,17 @@
             return;
         }
         over[0] = true;
+        meter.counted(outcome);
         if (verdicts != null && ZoneVerdicts.owns(name)) {
             verdicts.counted(timeline.now(), name, outcome, total);
         } else {
-            gateway.counted(timeline.now(), name, outcome, total);
+            meter.time(Activity.COUNTED, () -> gateway.counted(timeline.now(), name, outcome, total));
         }
     }
 
     @Override
     public void timer(long token, long span) {
-        soon(span, () -> gateway.timer(timeline.now(), token));
+        soon(span, () -> meter.time(Activity.TIMER, () -> gateway.timer(timeline.now(), token)));
     }
 
     @Override
--- a/lab/src/main/java/thistlefall/lab/scale/ModelScale.java
+++ b/lab/src/main/java/thistlefall/lab/scale/ModelScale.java
@@ -1,21 +1,81 @@
 package thistlefall.lab.scale;
 
 import java.io.IOException;
+import java.util.Locale;
 import java.util.Map;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+import thistlefall.Ports.Outcome;
+import thistlefall.lab.model.Meter;
+import thistlefall.lab.model.Meter.Activity;
 import thistlefall.lab.model.Model;
 import thistlefall.lab.scale.ScaleFile.ModelSize;
-import thistlefall.lab.scenario.Result;
+import thistlefall.lab.scenario.Scenario;
+import thistlefall.node.connections.Servers;
 
 /** Plays a size on virtual time. */
 public final class ModelScale {
+    private static final double SECOND = 1e9, MS = 1e6, US = 1e3;
+    /** A counter that costs next to nothing, to tell what the real one's cost does. */
+    private static final double FREE_MS = 1e-3;
+
     private ModelScale() {
     }
 
-    /** One play; {@code progress} hears how far it is. */
+    /** One play, and a second with a counter that costs nothing; {@code progress} hears how far it is. */
     public static Point play(ScaleFile file, ModelSize size, long seed, Consumer<String> progress) throws IOException, InterruptedException {
-        Result result = Model.of(file.scenario(size, seed), line -> { });
-        return new Point(Point.Side.MODEL, seed, size.key(), new TreeMap<>(Map.of("goodput-share", result.goodput())));
+        Scenario scenario = file.scenario(size, seed);
+        SortedMap<String, Double> figures = new TreeMap<>();
+        Tally tally = play(file, scenario, progress, figures);
+        tally.figures(figures);
+        Scenario.Counter free = new Scenario.Counter(scenario.counter().parts(), FREE_MS, Integer.MAX_VALUE);
+        SortedMap<String, Double> other = new TreeMap<>();
+        progress.accept("the same with a counter that costs nothing");
+        play(file, scenario.withCounter(free), progress, other).figures(other);
+        for (String name : new String[] {"refused-with-room-share", "beyond-quota-share", "served-in-aim-share"}) {
+            figures.put("free-counter-" + name, other.get(name));
+        }
+        figures.put("free-counter-calls-per-node-s", other.get("counter-calls-per-node-s"));
+        return new Point(Point.Side.MODEL, seed, size.key(), figures);
+    }
+
+    private static Tally play(ScaleFile file, Scenario scenario, Consumer<String> progress, Map<String, Double> figures)
+        throws IOException, InterruptedException {
+        double fromS = file.model().fromS(), span = file.model().spanS() - fromS, nodes = scenario.topology().nodes();
+        Tally tally = new Tally(scenario, Model.BEGUN + (long) (fromS * SECOND), Model.BEGUN + (long) (file.model().spanS() * SECOND));
+        Model.Measured of = Model.measured(scenario, Servers.kept((long) (file.idleS() * SECOND)), (long) (fromS * SECOND), tally, progress);
+        Meter meter = of.meter();
+        double calls = 0;
+        for (Outcome one : Outcome.values()) {
+            calls += meter.calls(one);
+        }
+        figures.put("counter-calls-per-node-s", calls / nodes / span);
+        figures.put("counter-calls-per-s", calls / span);
+        figures.put("counter-late-share", calls == 0 ? 0 : meter.calls(Outcome.TIMEOUT) / calls);
+        figures.put("counter-turned-away-share", calls == 0 ? 0 : meter.calls(Outcome.FULL) / calls);
+        double attempts = meter.opened() + meter.reused();
+        figures.put("connections-opened-per-request", attempts == 0 ? 0 : meter.opened() / attempts);
+        figures.put("connections-opened-per-node-s", meter.opened() / nodes / span);
+        figures.put("connections-per-node", of.connections() / nodes);
+        figures.put("connections-per-server", of.connections() / (double) scenario.topology().servers());
+        figures.put("connections-at-one-server", (double) of.mostConnections());
+        figures.put("added-p50-ms", meter.added().getValueAtPercentile(50) / MS);
+        figures.put("added-p99-ms", meter.added().getValueAtPercentile(99) / MS);
+        for (Map.Entry<Activity, Histogram> one : meter.spans().entrySet()) {
+            String name = "module-" + one.getKey().name().toLowerCase(Locale.ROOT).replace('_', '-');
+            Histogram spans = one.getValue();
+            figures.put(name + "-p50-us", spans.getValueAtPercentile(50) / US);
+            figures.put(name + "-p99-us", spans.getValueAtPercentile(99) / US);
+            figures.put(name + "-most-us", spans.getMaxValue() / US);
+            if (!one.getKey().always()) {
+                figures.put(name + "-cpu-share", spans.getMean() * spans.getTotalCount() / nodes / span / SECOND);
+            }
+        }
+        figures.put("module-heap-bytes-per-node", of.heapPerNode());
+        figures.put("play-heap-mb", of.heap() / (double) (1 << 20));
+        figures.put("play-wall-s-per-s", of.pace());
+        return tally;
     }
 }
--- a/lab/src/main/java/thistlefall/lab/scale/ScaleFile.java
+++ b/lab/src/main/java/thistlefall/lab/scale/ScaleFile.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -25,7 +26,7 @@
  */
 public record ScaleFile(String name, long seed, Map<String, List<String>> regions, Scenario.Servers servers, Scenario.Counter counter,
                         Scenario.Traffic load, double busy, double idleS, ModelSizes model, SocketsSizes sockets) {
-    private static final double MOST_SPAN_S = 600, MS = 1e3, LEAST_USE = 0.01;
+    private static final double MOST_SPAN_S = 600, MS = 1e3, MOST_TIMES = 2;
 
     /**
      * Sizes on virtual time.
@@ -142,9 +143,8 @@
         }
         double times = size.requestsPerS / asked;
         plans.replaceAll(plan -> with(plan, plan.customers(), plan.use() * times));
-        double most = plans.stream().mapToDouble(Scenario.Customers::use).max().orElseThrow();
-        check(most >= LEAST_USE && most <= 1, "has tenants and requests-per-s that don't fit: its plans would be used by " + most + ", not "
-            + LEAST_USE + " to 1");
+        check(times >= 1 / MOST_TIMES && times <= MOST_TIMES, String.format(Locale.ROOT, "has tenants and requests-per-s that don't fit: these are "
+            + "%.2f times what load.plans has such tenants ask, not %.1f to %.1f", times, 1 / MOST_TIMES, MOST_TIMES));
         double shares = load.classes().stream().mapToDouble(Scenario.Kind::share).sum();
         double work = load.classes().stream().mapToDouble(kind -> kind.share() * kind.workMs()).sum() / shares;
         double wanted = busy * servers.cores() * size.servers / size.requestsPerS * MS;
--- a/lab/src/main/java/thistlefall/lab/scenario/Scenario.java
+++ b/lab/src/main/java/thistlefall/lab/scenario/Scenario.java
@@ -298,4 +298,9 @@
     public Scenario withSeed(long other) {
         return new Scenario(name, other, spanS, topology, servers, counter, load, zones, faults, least);
     }
+
+    /** The same with another counter. */
+    public Scenario withCounter(Counter other) {
+        return new Scenario(name, seed, spanS, topology, servers, other, load, zones, faults, least);
+    }
 }
