The module forgets servers that have been off the list for a minute

Change: whatever is not named, has nothing out, is not left out by hand and was not heard of for 60 s goes when the list is taken again. ListsTest: an id twice, 100,000 entries and none are taken in each kind of list, nothing falls.

--- a/edge/src/main/java/thistlefall/Gateway.java
+++ b/edge/src/main/java/thistlefall/Gateway.java
@@ -32,6 +32,8 @@
     /** Weight of an answer in a server's averages; memory, in seconds, of these and of the others' use. */
     private static final double ALPHA = 0.12, ALPHA_ERR = 0.2, FORGIVE_S = 4, OTHERS_S = 3,
         TALLY_S = 5;
+    /** For how long a server no longer named is remembered, in seconds; what is known ages far sooner. */
+    private static final int FORGET_S = 60;
     /** How many times what cold servers took in the last seconds they may take where none is warm. */
     private static final double GROWTH = 4;
     /** A server of which this part fails counts as avoided. */
@@ -114,6 +116,7 @@
 
     /** Takes the servers that may be sent to anew from the list and from what operators keep out. */
     private void relist() {
+        servers.values().removeIf(Backend::forgotten);
         for (Backend b : servers.values()) {
             b.ready = b.named && b.entry.readiness() == Readiness.READY && !leftOut.contains(b.id)
                 && handShare(b.entry.zone()) > 0;
@@ -1054,6 +1057,12 @@
             errors = zoneErrors.getOrDefault(entry.zone(), 0.0);
         }
 
+        /** Off the list for long: each restart may name a server anew, and memory must not follow all. */
+        boolean forgotten() {
+            boolean known = named || !outstanding.isEmpty() || leftOut.contains(id);
+            return !known && now - heard > FORGET_S * SECOND;
+        }
+
         boolean cold() { return coldSince > 0 && now - coldSince < cfg.rules().coldSpan(); }
 
         double warmth() {
