A whole list's names are a set: no linear search for each known server

A whole list taken again was searched once for each known server: quadratic in the list, and the loop stood still for it.

--- a/edge/src/main/java/thistlefall/Gateway.java
+++ b/edge/src/main/java/thistlefall/Gateway.java
@@ -97,7 +97,7 @@
         if (kind == ListKind.FAILED) {
             out.watchList();
         } else if (kind != ListKind.DELTA) {
-            List<String> named = entries.stream().map(Server::id).toList();
+            Set<String> named = entries.stream().map(Server::id).collect(Collectors.toSet());
             servers.values().stream().filter(b -> !named.contains(b.id)).forEach(b -> b.named = false);
         }
         for (Server entry : entries) {
