An edge node may stand on a loop that others share

EdgeNode.on takes an event loop and the text of a configuration; the process's own way makes its loop as before: one loop, one thread, nothing new in run. Public are start, admit, address, the list's revision and the figures, and no more.

--- a/edge/src/main/java/thistlefall/node/DiscoveryClient.java
+++ b/edge/src/main/java/thistlefall/node/DiscoveryClient.java
@@ -75,6 +75,11 @@
         return first.isDone();
     }
 
+    /** The version of the list that is held; on the loop only. */
+    long revision() {
+        return watches.revision();
+    }
+
     /** Goes on at another address at once; what the old one says until the new one speaks is still heard. */
     void move(InetSocketAddress to) {
         System.out.println("discovery is followed from " + address + " to " + to);
--- a/edge/src/main/java/thistlefall/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/node/EdgeNode.java
@@ -34,9 +34,10 @@
 
 /**
  * A real edge node: carries what happens on the sockets to the decision module and its actions back. All of it
- * runs on one event loop thread, so nothing here is locked and the module's contract of one caller holds.
+ * runs on one event loop thread, so nothing here is locked and the module's contract of one caller holds. A process has one
+ * with a loop of its own; many may share loops where that is measured.
  */
-final class EdgeNode implements Ports.Actions, AutoCloseable {
+public final class EdgeNode implements Ports.Actions, AutoCloseable {
     private static final long MS = 1_000_000L;
     /** By so much the module sees each deadline early: its last answer is written before the client leaves. */
     private static final long ANSWER_MARGIN = 12 * MS;
@@ -51,8 +52,9 @@
     /** For how long a successor waits for what the other process knows. */
     private static final long HANDOVER_MS = 10_000;
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    final EventLoop loop = group.next();
+    /** Null where the loop is another's. */
+    private final EventLoopGroup group;
+    final EventLoop loop;
     /** The module's clock: the wall's time at the start, going on by the clock that never jumps. */
     private final long clockOffset = System.currentTimeMillis() * MS - System.nanoTime();
     private final Map<String, OpenRequest> open = new HashMap<>();
@@ -77,6 +79,26 @@
 
     /** {@code folder} keeps what outlives the process; null if nothing does. */
     EdgeNode(Config config, Path folder) throws IOException {
+        this(config, folder, new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()), null);
+    }
+
+    /**
+     * One of many on a loop that others share; nothing of it outlives the process. It ends with the loop.
+     *
+     * @param configuration what the file that {@code GW_CONFIG} names would hold
+     * @throws IllegalArgumentException with one line that names the key, if it can't be used
+     */
+    public static EdgeNode on(EventLoop loop, String configuration) throws IOException {
+        try {
+            return new EdgeNode(Config.parse(configuration), null, null, loop);
+        } catch (Config.Invalid e) {
+            throw new IllegalArgumentException(e.getMessage(), e);
+        }
+    }
+
+    private EdgeNode(Config config, Path folder, EventLoopGroup own, EventLoop shared) throws IOException {
+        group = own;
+        loop = own == null ? shared : own.next();
         this.config = config;
         figures = new Figures(config.names().classes(), counts);
         slots = new Slots(folder);
@@ -96,7 +118,7 @@
      * agent has counts as told from the first moment on, and the list as last had may name servers that leave: nobody is
      * listened to before the agent was heard, or has been waited for.
      */
-    void start() throws Exception {
+    public void start() throws Exception {
         decide();
         loop.submit(() -> discovery.start(config.known().revision())).get();
         discovery.first().get();
@@ -144,7 +166,7 @@
     }
 
     /** Where clients connect. */
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return clients.address();
     }
 
@@ -249,6 +271,16 @@
         });
     }
 
+    /** The version of the list that it goes by; on the loop only. */
+    public long revision() {
+        return discovery.revision();
+    }
+
+    /** What operators read, a figure a line; any thread. */
+    public String figures() {
+        return figures.text();
+    }
+
     private CompletableFuture<String> command(Callable<String> what) {
         CompletableFuture<String> done = new CompletableFuture<>();
         loop.execute(() -> {
@@ -307,7 +339,9 @@
     @Override
     public void close() {
         clients.close();
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        if (group != null) {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        }
     }
 
     long now() {
@@ -353,7 +387,7 @@
     }
 
     /** From now on the front may send here, unless the process ends; not for the loop's thread. */
-    void admit() {
+    public void admit() {
         // Done when this returns: whoever then tells the other process to end counts on it.
         loop.submit(() -> {
             if (!clients.stopping()) {
