lab scale on sockets: hollow nodes in a process, real ones beside them, servers behind one socket

A control machine that stops, is slow or cuts answers is counted; each wait has an end. Roll lines are made once for all watches. A port that was closed refuses at once: the socket listened on until the next select.

--- a/lab/src/main/java/thistlefall/lab/cli/Scale.java
+++ b/lab/src/main/java/thistlefall/lab/cli/Scale.java
@@ -18,6 +18,7 @@
 import thistlefall.lab.scale.Point;
 import thistlefall.lab.scale.ScaleFile;
 import thistlefall.lab.scale.ScaleResult;
+import thistlefall.lab.scale.sockets.SocketsScale;
 import thistlefall.lab.scenario.Scenario;
 
 /** Fleets of several sizes, one after the other, and what each measured. */
@@ -80,6 +81,10 @@
                 read.model().sizes().forEach(size -> plays.add(new Planned("model, seed " + seed + ", " + size,
                     () -> ModelScale.play(read, size, seed, progress))));
             }
+            if (side != Point.Side.MODEL && read.sockets() != null) {
+                read.sockets().sizes().forEach(size -> plays.add(new Planned("sockets, seed " + seed + ", " + size,
+                    () -> SocketsScale.play(read, size, seed, progress))));
+            }
         }
         return plays;
     }
--- a/lab/src/main/java/thistlefall/lab/fleet/Fleet.java
+++ b/lab/src/main/java/thistlefall/lab/fleet/Fleet.java
@@ -7,9 +7,7 @@
 import java.io.UncheckedIOException;
 import java.net.HttpURLConnection;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.net.URI;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -35,6 +33,7 @@
 import thistlefall.lab.process.NodeProcess;
 import thistlefall.lab.process.NodeProcess.Line;
 import thistlefall.lab.process.NodeProcess.Signal;
+import thistlefall.lab.process.Operators;
 import thistlefall.lab.stand.ArchiveServer;
 import thistlefall.lab.stand.CounterTerms;
 import thistlefall.lab.stand.Member;
@@ -251,11 +250,7 @@
     public String call(Party node, String line) throws IOException {
         String said = log(node).stream().map(Line::text).filter(text -> text.startsWith(OPERATORS)).reduce((first, last) -> last)
             .orElseThrow(() -> new IOException(node.name() + " does not say where operators call"));
-        try (Socket socket = new Socket("127.0.0.1", Integer.parseInt(said.substring(said.lastIndexOf(':') + 1)))) {
-            socket.setSoTimeout(HEALTH_MS);
-            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        }
+        return Operators.call(new InetSocketAddress("127.0.0.1", Integer.parseInt(said.substring(said.lastIndexOf(':') + 1))), line);
     }
 
     /** Its process, for its end and its number. */
--- a/lab/src/main/java/thistlefall/lab/fleet/NodeConfig.java
+++ b/lab/src/main/java/thistlefall/lab/fleet/NodeConfig.java
@@ -50,7 +50,8 @@
         return settings;
     }
 
-    static String text(Topology of, Load load, Party node, InetSocketAddress listen, InetSocketAddress discovery,
+    /** The whole file of one node. */
+    public static String text(Topology of, Load load, Party node, InetSocketAddress listen, InetSocketAddress discovery,
                        InetSocketAddress counter, Roll known, long seed) throws IOException {
         ObjectNode root = JSON.createObjectNode();
         root.put("name", node.name()).put("listen", text(listen)).put("discovery", text(discovery))
@@ -64,7 +65,8 @@
         return JSON.writeValueAsString(root);
     }
 
-    static String text(InetSocketAddress address) {
+    /** As configurations and lists have it. */
+    public static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 }
--- a/lab/src/main/java/thistlefall/lab/scale/ScaleFile.java
+++ b/lab/src/main/java/thistlefall/lab/scale/ScaleFile.java
@@ -1,8 +1,10 @@
 package thistlefall.lab.scale;
 
+import com.fasterxml.jackson.annotation.JsonProperty;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -73,25 +75,50 @@
         }
     }
 
+    /** What is wrong with a control machine from the middle of the measured span to its end; every answer that is lost is counted. */
+    public enum ControlTrouble {
+        /** The counter answers no call. */
+        @JsonProperty("counter-stops")
+        COUNTER_STOPS,
+        /** The counter needs a hundred times as long. */
+        @JsonProperty("counter-slow")
+        COUNTER_SLOW,
+        /** The counter's connections end in the midst of each answer. */
+        @JsonProperty("counter-cuts")
+        COUNTER_CUTS,
+        /** Discovery says nothing. */
+        @JsonProperty("discovery-stops")
+        DISCOVERY_STOPS,
+        /** Discovery's connections end in the midst of each line. */
+        @JsonProperty("discovery-cuts")
+        DISCOVERY_CUTS
+    }
+
     /**
      * A size over loopback.
      *
      * @param real edge nodes that are processes of their own
      * @param hollow edge nodes that share one process
-     * @param requestsPerS requests a second, over all edge nodes; 0 for none
+     * @param realRequestsPerS requests a second at each real one; 0 for none
+     * @param hollowRequestsPerS requests a second at each hollow one; 0 for none
+     * @param trouble null for none
      */
-    public record SocketsSize(int real, int hollow, int servers, double requestsPerS) {
+    public record SocketsSize(int real, int hollow, int servers, double realRequestsPerS, double hollowRequestsPerS, ControlTrouble trouble) {
         /** Checks its ranges; the message names the figure. */
         public SocketsSize {
             check(real >= 0 && hollow >= 0 && real + hollow >= 1, "real and hollow are not 0 or more, and 1 together");
             check(servers >= 1, "servers is not 1 or more");
-            check(requestsPerS >= 0, "requests-per-s is below 0");
+            check(realRequestsPerS >= 0 && hollowRequestsPerS >= 0, "real-requests-per-s or hollow-requests-per-s is below 0");
         }
 
-        /** What tells it from others, as a point has it. */
+        /** What tells it from others, as a point has it; its trouble is told by a figure 1 of its name. */
         public SortedMap<String, Double> key() {
-            return new TreeMap<>(Map.of("nodes", (double) real + hollow, "real", (double) real, "hollow", (double) hollow, "servers",
-                (double) servers, "requests-per-s", requestsPerS));
+            SortedMap<String, Double> key = new TreeMap<>(Map.of("nodes", (double) real + hollow, "real", (double) real, "hollow", (double) hollow,
+                "servers", (double) servers, "real-requests-per-s", realRequestsPerS, "hollow-requests-per-s", hollowRequestsPerS));
+            if (trouble != null) {
+                key.put(trouble.name().toLowerCase(Locale.ROOT).replace('_', '-'), 1.0);
+            }
+            return key;
         }
     }
 
--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/scale/sockets/package-info.java
@@ -0,0 +1,2 @@
+/** The scale run over loopback: hollow edge nodes beside real processes, and stand-ins that bear thousands of addresses. */
+package thistlefall.lab.scale.sockets;
--- a/lab/src/main/java/thistlefall/lab/stand/Agent.java
+++ b/lab/src/main/java/thistlefall/lab/stand/Agent.java
@@ -25,6 +25,9 @@
     private final ArrayDeque<Roll> kept = new ArrayDeque<>();
     private long revision, forgotten;
     private boolean silent;
+    /** The last one asked for, and of which version: many readers ask for the same. */
+    private Roll whole, since;
+    private long sinceVersion;
 
     /** Begins with a whole list. */
     public Agent(Roll begin) {
@@ -70,6 +73,8 @@
             Roll change = underWay.poll().change;
             apply(change.members());
             revision = change.revision();
+            whole = null;
+            since = null;
             kept.add(change);
             if (kept.size() > KEPT) {
                 forgotten = kept.poll().revision();
@@ -84,7 +89,10 @@
 
     /** The whole list as it stands. */
     public Roll whole() {
-        return new Roll(revision, true, List.copyOf(list.values()));
+        if (whole == null) {
+            whole = new Roll(revision, true, List.copyOf(list.values()));
+        }
+        return whole;
     }
 
     /** What a reader of a version misses: the changes since, or the whole list if they are not kept or the version is unknown. */
@@ -92,6 +100,14 @@
         if (version < forgotten || version > revision) {
             return whole();
         }
+        if (since == null || sinceVersion != version) {
+            since = changes(version);
+            sinceVersion = version;
+        }
+        return since;
+    }
+
+    private Roll changes(long version) {
         Map<String, Member> changed = new LinkedHashMap<>();
         for (Roll one : kept) {
             if (one.revision() > version) {
--- a/lab/src/main/java/thistlefall/lab/stand/http/ArchiveServerPort.java
+++ b/lab/src/main/java/thistlefall/lab/stand/http/ArchiveServerPort.java
@@ -22,7 +22,15 @@
         void ended(long at, String id, ArchiveServer.Ending how);
     }
 
-    private record Call(String id, Reply reply) {
+    /** A request and the place of its answer. */
+    record Call(String id, Reply reply) {
+        void answer(ArchiveServer.Ending how) {
+            switch (how) {
+                case SERVED, REPEATED -> reply.answer(HttpResponseStatus.OK, id);
+                case FAILED -> reply.answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, "");
+                case TURNED_AWAY -> reply.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "", "X-Never-Ran", "1");
+            }
+        }
     }
 
     private final ArchiveServer<Call> core;
@@ -80,11 +88,7 @@
         for (Ended<Call> one = core.poll(now); one != null; one = core.poll(now)) {
             Call call = one.request();
             history.ended(now, call.id, one.how());
-            switch (one.how()) {
-                case SERVED, REPEATED -> call.reply.answer(HttpResponseStatus.OK, call.id);
-                case FAILED -> call.reply.answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, "");
-                case TURNED_AWAY -> call.reply.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "", "X-Never-Ran", "1");
-            }
+            call.answer(one.how());
         }
         return core.next();
     }
--- a/lab/src/main/java/thistlefall/lab/stand/http/CounterPort.java
+++ b/lab/src/main/java/thistlefall/lab/stand/http/CounterPort.java
@@ -10,6 +10,7 @@
 import java.math.MathContext;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import thistlefall.lab.stand.Counter;
 import thistlefall.lab.stand.Counter.Answer;
@@ -24,14 +25,36 @@
     /** A total is exact to seven digits. */
     private static final MathContext DIGITS = new MathContext(7);
 
-    private final Counter<Reply> core;
+    /** Hears how calls end, on the port's loop. */
+    public interface History {
+        /** A call was answered so many nanoseconds after it came; {@code added} is false if it was turned away. */
+        void answered(long took, boolean added);
+    }
+
+    private record Call(long at, Reply reply) {
+    }
+
+    private final Counter<Call> core;
+    private final History history;
+    private final AtomicLong calls = new AtomicLong();
 
     /** Listens when it returns; it begins empty. */
     public CounterPort(EventLoop loop, InetSocketAddress at, CounterTerms terms) throws IOException {
+        this(loop, at, terms, (took, added) -> { });
+    }
+
+    /** The same, with somebody who hears how calls end. */
+    public CounterPort(EventLoop loop, InetSocketAddress at, CounterTerms terms, History history) throws IOException {
         super(loop, at);
+        this.history = history;
         core = new Counter<>(terms, System.nanoTime());
     }
 
+    /** How many calls came so far; any thread. */
+    public long calls() {
+        return calls.get();
+    }
+
     /** Carries out a fault or a question on its core, on its loop. */
     public void on(Consumer<Counter<?>> what) {
         carry(() -> what.accept(core));
@@ -48,7 +71,9 @@
             to.answer(HttpResponseStatus.BAD_REQUEST, "");
             return;
         }
-        core.call(System.nanoTime(), to, name, amount, (long) Math.min(life, Long.MAX_VALUE / MS) * MS);
+        calls.incrementAndGet();
+        long now = System.nanoTime();
+        core.call(now, new Call(now, to), name, amount, (long) Math.min(life, Long.MAX_VALUE / MS) * MS);
     }
 
     private static double number(List<String> values) {
@@ -61,11 +86,12 @@
 
     @Override
     long due(long now) {
-        for (Answer<Reply> one = core.poll(now); one != null; one = core.poll(now)) {
+        for (Answer<Call> one = core.poll(now); one != null; one = core.poll(now)) {
+            history.answered(now - one.call().at, one.total() != null);
             if (one.total() == null) {
-                one.call().answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "");
+                one.call().reply.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "");
             } else {
-                one.call().answer(HttpResponseStatus.OK, new BigDecimal(one.total()).round(DIGITS).toPlainString());
+                one.call().reply.answer(HttpResponseStatus.OK, new BigDecimal(one.total()).round(DIGITS).toPlainString());
             }
         }
         return core.next();
--- a/lab/src/main/java/thistlefall/lab/stand/http/DiscoveryPort.java
+++ b/lab/src/main/java/thistlefall/lab/stand/http/DiscoveryPort.java
@@ -1,5 +1,6 @@
 package thistlefall.lab.stand.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
@@ -31,9 +32,12 @@
         void wrote(long at, Roll roll);
     }
 
-    private final Agent agent;
+    private Agent agent;
     private final History history;
     private final Map<Channel, Watch> watches = new LinkedHashMap<>();
+    /** The last one written, and its line: many watches get the same. */
+    private Roll written;
+    private ByteBuf line = Unpooled.EMPTY_BUFFER;
 
     /** Listens when it returns. */
     public DiscoveryPort(EventLoop loop, InetSocketAddress at, Roll begin, History history) throws IOException {
@@ -47,6 +51,15 @@
         carry(() -> agent.send(System.nanoTime(), change, delay));
     }
 
+    /** It begins anew with this list, which keeps no changes: connections are reset, and each reader of before takes it whole. */
+    public void restart(Roll begin) {
+        carry(() -> {
+            agent = new Agent(begin);
+            watches.clear();
+            reset();
+        });
+    }
+
     /** Whether discovery is down: the agent says nothing. */
     public void silent(boolean down) {
         carry(() -> agent.silent(down));
@@ -80,6 +93,15 @@
         }
     }
 
+    private ByteBuf line(Roll roll) {
+        if (roll != written) {
+            boolean nothing = roll.members().isEmpty() && !roll.complete();
+            line = Unpooled.copiedBuffer((nothing ? "" : roll.json()) + "\n", StandardCharsets.UTF_8);
+            written = roll;
+        }
+        return line.retainedDuplicate();
+    }
+
     @Override
     void gone(Channel client) {
         watches.remove(client);
@@ -93,9 +115,7 @@
             Roll roll = one.getValue().poll(now);
             if (roll != null) {
                 history.wrote(now, roll);
-                boolean nothing = roll.members().isEmpty() && !roll.complete();
-                one.getKey().writeAndFlush(new DefaultHttpContent(
-                    Unpooled.copiedBuffer((nothing ? "" : roll.json()) + "\n", StandardCharsets.UTF_8)));
+                one.getKey().writeAndFlush(new DefaultHttpContent(line(roll)));
             }
             next = Math.min(next, one.getValue().next());
         }
--- a/lab/src/main/java/thistlefall/lab/stand/http/Port.java
+++ b/lab/src/main/java/thistlefall/lab/stand/http/Port.java
@@ -29,6 +29,7 @@
     private final EventLoop loop;
     private final ChannelGroup open;
     private final InetSocketAddress address;
+    private final Traffic traffic = new Traffic();
     private ScheduledFuture<?> wake;
     private long wakeAt = Long.MAX_VALUE;
 
@@ -42,8 +43,12 @@
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel client) {
+                    if (!welcome((InetSocketAddress) client.remoteAddress(), (InetSocketAddress) client.localAddress())) {
+                        client.close();
+                        return;
+                    }
                     open.add(client);
-                    client.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY), new Requests());
+                    client.pipeline().addLast(traffic.counter(), new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY), new Requests());
                 }
             }).bind(at).awaitUninterruptibly();
         if (!bound.isSuccess()) {
@@ -58,9 +63,19 @@
         return address;
     }
 
+    /** What went over its connections; any thread. */
+    public Traffic traffic() {
+        return traffic;
+    }
+
     /** A whole request came, on the loop; it is released afterwards. */
     abstract void request(Reply to, FullHttpRequest request);
 
+    /** Whether a connection is let in, on the loop. */
+    boolean welcome(InetSocketAddress from, InetSocketAddress to) {
+        return true;
+    }
+
     /** A connection ended, on the loop. */
     void gone(Channel client) {
     }
@@ -95,6 +110,16 @@
         }
     }
 
+    /** Every connection is reset, on the loop; it goes on listening. */
+    final void reset() {
+        lingerNot();
+        open.stream().filter(one -> !(one instanceof NioServerSocketChannel)).forEach(Channel::close);
+    }
+
+    private void lingerNot() {
+        open.stream().filter(one -> !(one instanceof NioServerSocketChannel)).forEach(one -> one.config().setOption(ChannelOption.SO_LINGER, 0));
+    }
+
     /** Dies: every connection is reset, new ones are refused. */
     @Override
     public void close() {
@@ -102,13 +127,11 @@
             if (wake != null) {
                 wake.cancel(false);
             }
-            open.forEach(one -> {
-                if (!(one instanceof NioServerSocketChannel)) {
-                    one.config().setOption(ChannelOption.SO_LINGER, 0);
-                }
-            });
+            lingerNot();
         }).syncUninterruptibly();
         open.close().syncUninterruptibly();
+        // A closed socket goes on listening until its selector looks next, which it does before a timer runs.
+        loop.schedule(() -> { }, 1, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 
     private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
