--- a/lab/src/main/java/thistlefall/lab/scale/ModelScale.java
+++ b/lab/src/main/java/thistlefall/lab/scale/ModelScale.java
@@ -34,10 +34,10 @@
         SortedMap<String, Double> other = new TreeMap<>();
         progress.accept("the same with a counter that costs nothing");
         play(file, scenario.withCounter(free), progress, other).figures(other);
-        for (String name : new String[] {"refused-with-room-share", "beyond-quota-share", "served-in-aim-share"}) {
+        for (String name : new String[] {"refused-with-room-share", "beyond-quota-share", "served-in-aim-share", "added-p99-ms",
+            "counter-calls-per-node-s"}) {
             figures.put("free-counter-" + name, other.get(name));
         }
-        figures.put("free-counter-calls-per-node-s", other.get("counter-calls-per-node-s"));
         return new Point(Point.Side.MODEL, seed, size.key(), figures);
     }
 
