--- a/lab/src/main/java/thistlefall/lab/cli/Scale.java
+++ b/lab/src/main/java/thistlefall/lab/cli/Scale.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -39,6 +40,9 @@
     @Option(names = "--seeds", paramLabel = "A..B", description = "both ends included; the file's one if left out")
     private Seeds seeds;
 
+    @Option(names = "--sizes", paramLabel = "A..B", description = "only these of a side's sizes, by their number in the file from 1 on")
+    private Seeds sizes;
+
     @Option(names = "--out", paramLabel = "DIR", description = "where scale.json goes; target/scale/NAME if left out")
     private Path out;
 
@@ -78,14 +82,18 @@
         Consumer<String> progress = System.out::println;
         for (long seed : (seeds == null ? new Seeds(read.seed(), read.seed()) : seeds).all().toArray()) {
             if (side != Point.Side.SOCKETS && read.model() != null) {
-                read.model().sizes().forEach(size -> plays.add(new Planned("model, seed " + seed + ", " + size,
+                wanted(read.model().sizes()).forEach(size -> plays.add(new Planned("model, seed " + seed + ", " + size,
                     () -> ModelScale.play(read, size, seed, progress))));
             }
             if (side != Point.Side.MODEL && read.sockets() != null) {
-                read.sockets().sizes().forEach(size -> plays.add(new Planned("sockets, seed " + seed + ", " + size,
+                wanted(read.sockets().sizes()).forEach(size -> plays.add(new Planned("sockets, seed " + seed + ", " + size,
                     () -> SocketsScale.play(read, size, seed, progress))));
             }
         }
         return plays;
     }
+
+    private <T> List<T> wanted(List<T> all) {
+        return sizes == null ? all : IntStream.range(0, all.size()).filter(i -> i + 1 >= sizes.from() && i + 1 <= sizes.to()).mapToObj(all::get).toList();
+    }
 }
--- a/lab/src/main/java/thistlefall/lab/cli/ScaleReport.java
+++ b/lab/src/main/java/thistlefall/lab/cli/ScaleReport.java
@@ -1,21 +1,31 @@
 package thistlefall.lab.cli;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
+import thistlefall.lab.scale.CapacityFile;
+import thistlefall.lab.scale.CapacityTables;
 import thistlefall.lab.scale.ScaleResult;
 import thistlefall.lab.scale.ScaleTables;
 
 /** The tables of plays that were played before. */
 @Command(name = "report", mixinStandardHelpOptions = true, description = "Prints the tables of results in Markdown.")
 final class ScaleReport implements Callable<Integer> {
+    /** Between these lines of a page the tables stand. */
+    static final String BEGIN = "<!-- tables of lab scale report -->", END = "<!-- end of tables -->";
+
     @Parameters(paramLabel = "DIR", arity = "1..*", description = "folders with a scale.json each")
     private List<Path> folders;
 
+    @Option(names = "--page", paramLabel = "FILE", description = "a page of which what stands between its two marks is written anew; printed if left out")
+    private Path page;
+
     @Override
     public Integer call() {
         List<ScaleResult> results = new ArrayList<>();
@@ -27,7 +37,26 @@
                 return 2;
             }
         }
-        System.out.print(ScaleTables.of(results));
-        return 0;
+        try {
+            String tables = ScaleTables.of(results) + CapacityTables.of(CapacityFile.own(), results);
+            if (page == null) {
+                System.out.print(tables);
+            } else {
+                Files.writeString(page, within(Files.readString(page), tables));
+            }
+            return 0;
+        } catch (IOException e) {
+            System.err.println(e.getMessage());
+            return 2;
+        }
+    }
+
+    /** A page with what stands between its marks anew. */
+    static String within(String page, String tables) throws IOException {
+        int from = page.indexOf(BEGIN), to = page.indexOf(END);
+        if (from < 0 || to < from) {
+            throw new IOException("the page has no lines " + BEGIN + " and " + END);
+        }
+        return page.substring(0, from) + BEGIN + "\n\n" + tables + page.substring(to);
     }
 }
