--- a/lab/src/main/java/thistlefall/lab/model/Model.java
+++ b/lab/src/main/java/thistlefall/lab/model/Model.java
@@ -46,6 +46,8 @@
     private static final long END = 1_000_000_000L;
     private static final double CORES = 4, SECOND = 1e9;
     private static final long MB = 1 << 20;
+    /** By then an answer that was given is heard. */
+    private static final long HEARD = 100_000_000L;
     /** How often a change of the list is measured at each node, after the play. */
     private static final int CHANGES = 5;
 
@@ -119,6 +121,7 @@
         Map<ServerHost, Integer> byServer = new HashMap<>();
         int connections = model.nodes.stream().mapToInt(node -> node.connections(byServer)).sum();
         long used = heap() - before;
+        model.finish(begun);
         Server first = model.list().get(0);
         for (int i = 0; i < CHANGES; i++) {
             model.nodes.forEach(node -> node.told(first));
@@ -168,6 +171,14 @@
         }
     }
 
+    /** What was asked is over before the counts are read, each in its time. */
+    private void finish(long begun) throws IOException, InterruptedException {
+        while (timeline.now() < begun + longest() && !nodes.stream().allMatch(NodeHost::idle)) {
+            play(begun, timeline.now() + HEARD);
+        }
+        play(begun, timeline.now() + HEARD);
+    }
+
     private void play(long begun, long until) throws IOException, InterruptedException {
         while (!steps.isEmpty() && begun + steps.peek().at() <= until) {
             Script.Step step = steps.poll();
--- a/lab/src/main/java/thistlefall/lab/model/NodeHost.java
+++ b/lab/src/main/java/thistlefall/lab/model/NodeHost.java
@@ -269,6 +269,11 @@
         meter.time(Activity.REQUEST, () -> gateway.request(timeline.now(), request));
     }
 
+    /** Whether no request is open here. */
+    boolean idle() {
+        return open.isEmpty();
+    }
+
     /** Connections to archive servers now, in use and idle, added up by server. */
     int connections(Map<ServerHost, Integer> byServer) {
         int[] all = new int[1];
