Events in the model's sizes: a rollout, a zone lost, a cold start, the counter gone

Change: a size may name an event; its faults follow from the size; a play with one tells the worst second, fallen servers and the pressure on cold ones, and counts apart from calm ones in the tables. A test's replacement follows the sockets' new keys.

--- a/lab/src/main/java/thistlefall/lab/model/Model.java
+++ b/lab/src/main/java/thistlefall/lab/model/Model.java
@@ -122,6 +122,7 @@
         int connections = model.nodes.stream().mapToInt(node -> node.connections(byServer)).sum();
         long used = heap() - before;
         model.finish(begun);
+        model.servers.values().forEach(model::last);
         Server first = model.list().get(0);
         for (int i = 0; i < CHANGES; i++) {
             model.nodes.forEach(node -> node.told(first));
--- a/lab/src/main/java/thistlefall/lab/scale/ModelScale.java
+++ b/lab/src/main/java/thistlefall/lab/scale/ModelScale.java
@@ -24,12 +24,20 @@
     private ModelScale() {
     }
 
-    /** One play, and a second with a counter that costs nothing; {@code progress} hears how far it is. */
+    /** One play, and on a calm day a second with a counter that costs nothing; {@code progress} hears how far it is. */
     public static Point play(ScaleFile file, ModelSize size, long seed, Consumer<String> progress) throws IOException, InterruptedException {
         Scenario scenario = file.scenario(size, seed);
         SortedMap<String, Double> figures = new TreeMap<>();
         Tally tally = play(file, scenario, progress, figures);
         tally.figures(figures);
+        if (size.event() == null) {
+            withFreeCounter(file, scenario, progress, figures);
+        }
+        return new Point(Point.Side.MODEL, seed, size.key(), figures);
+    }
+
+    private static void withFreeCounter(ScaleFile file, Scenario scenario, Consumer<String> progress, Map<String, Double> figures)
+        throws IOException, InterruptedException {
         Scenario.Counter free = new Scenario.Counter(scenario.counter().parts(), FREE_MS, Integer.MAX_VALUE);
         SortedMap<String, Double> other = new TreeMap<>();
         progress.accept("the same with a counter that costs nothing");
@@ -38,7 +46,6 @@
             "counter-calls-per-node-s"}) {
             figures.put("free-counter-" + name, other.get(name));
         }
-        return new Point(Point.Side.MODEL, seed, size.key(), figures);
     }
 
     private static Tally play(ScaleFile file, Scenario scenario, Consumer<String> progress, Map<String, Double> figures)
--- a/lab/src/main/java/thistlefall/lab/scale/Point.java
+++ b/lab/src/main/java/thistlefall/lab/scale/Point.java
@@ -1,6 +1,7 @@
 package thistlefall.lab.scale;
 
 import java.util.Map;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
 
@@ -13,6 +14,10 @@
  * @param figures what was measured, by name; the unit ends the name, as in {@code counter-calls-per-node-s}
  */
 public record Point(Side side, long seed, SortedMap<String, Double> size, SortedMap<String, Double> figures) {
+    /** The keys of a size that are about how much there is; any other names something that happened, its value 1. */
+    static final Set<String> AMOUNTS = Set.of("nodes", "servers", "services", "tenants", "requests-per-s", "real", "hollow", "real-requests-per-s",
+        "hollow-requests-per-s");
+
     /** On what it was played. */
     public enum Side {
         /** Virtual time. */
--- a/lab/src/main/java/thistlefall/lab/scale/ScaleFile.java
+++ b/lab/src/main/java/thistlefall/lab/scale/ScaleFile.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 import thistlefall.lab.scenario.Scenario;
 import thistlefall.lab.scenario.YamlFile;
 
@@ -27,7 +28,7 @@
  */
 public record ScaleFile(String name, long seed, Map<String, List<String>> regions, Scenario.Servers servers, Scenario.Counter counter,
                         Scenario.Traffic load, double busy, double idleS, ModelSizes model, SocketsSizes sockets) {
-    private static final double MOST_SPAN_S = 600, MS = 1e3, MOST_TIMES = 2;
+    private static final double MOST_SPAN_S = 600, MS = 1e3, MOST_TIMES = 2, EVENT_PART = 4;
 
     /**
      * Sizes on virtual time.
@@ -43,14 +44,30 @@
         }
     }
 
+    /** What may happen to a fleet on virtual time; all is mended before the end. */
+    public enum ModelEvent {
+        /** The archive servers of one service drain one after the other, and start again, cold. */
+        ROLLOUT,
+        /** All of a zone dies, for a while. */
+        @JsonProperty("zone-lost")
+        ZONE_LOST,
+        /** Everything dies at once and starts again, servers cold. */
+        @JsonProperty("cold-start")
+        COLD_START,
+        /** The counter is gone, for a while. */
+        @JsonProperty("counter-gone")
+        COUNTER_GONE
+    }
+
     /**
      * A size on virtual time.
      *
      * @param services how many services the archive servers belong to; the program knows one list, so it changes no play
      * @param tenants customers, over all plans
      * @param requestsPerS requests a second, over all edge nodes
+     * @param event what happens a second after figures begin to count; null for a calm day
      */
-    public record ModelSize(int nodes, int servers, int services, int tenants, double requestsPerS) {
+    public record ModelSize(int nodes, int servers, int services, int tenants, double requestsPerS, ModelEvent event) {
         /** Checks its ranges; the message names the figure. */
         public ModelSize {
             check(nodes >= 1, "nodes is not 1 or more");
@@ -61,8 +78,12 @@
 
         /** What tells it from others, as a point has it. */
         public SortedMap<String, Double> key() {
-            return new TreeMap<>(Map.of("nodes", (double) nodes, "servers", (double) servers, "services", (double) services, "tenants",
-                (double) tenants, "requests-per-s", requestsPerS));
+            SortedMap<String, Double> key = new TreeMap<>(Map.of("nodes", (double) nodes, "servers", (double) servers, "services", (double) services,
+                "tenants", (double) tenants, "requests-per-s", requestsPerS));
+            if (event != null) {
+                key.put(event.name().toLowerCase(Locale.ROOT).replace('_', '-'), 1.0);
+            }
+            return key;
         }
     }
 
@@ -133,7 +154,7 @@
         List<ModelSize> sizes = model == null ? List.of() : model.sizes;
         for (int i = 0; i < sizes.size(); i++) {
             try {
-                scenario(name, seed, regions, servers, counter, load, busy, model.spanS, sizes.get(i));
+                scenario(name, seed, regions, servers, counter, load, busy, model, sizes.get(i));
             } catch (IllegalArgumentException e) {
                 throw new IllegalArgumentException("model.sizes." + i + " " + e.getMessage(), e);
             }
@@ -149,13 +170,13 @@
         return YamlFile.read(file, ScaleFile.class);
     }
 
-    /** What a size of the model plays, calm. */
+    /** What a size of the model plays. */
     public Scenario scenario(ModelSize size, long withSeed) {
-        return scenario(name, withSeed, regions, servers, counter, load, busy, model.spanS, size);
+        return scenario(name, withSeed, regions, servers, counter, load, busy, model, size);
     }
 
     private static Scenario scenario(String name, long seed, Map<String, List<String>> regions, Scenario.Servers servers, Scenario.Counter counter,
-                                     Scenario.Traffic load, double busy, double spanS, ModelSize size) {
+                                     Scenario.Traffic load, double busy, ModelSizes times, ModelSize size) {
         List<String> zones = regions.values().stream().flatMap(List::stream).sorted().toList();
         check(size.nodes >= zones.size() && size.servers >= zones.size(), "has fewer nodes or servers than zones: " + zones.size());
         double parts = load.plans().stream().mapToInt(Scenario.Customers::customers).sum();
@@ -167,17 +188,40 @@
             plans.add(with(plan, customers, plan.use()));
             asked += customers * plan.rate() * plan.use();
         }
-        double times = size.requestsPerS / asked;
-        plans.replaceAll(plan -> with(plan, plan.customers(), plan.use() * times));
-        check(times >= 1 / MOST_TIMES && times <= MOST_TIMES, String.format(Locale.ROOT, "has tenants and requests-per-s that don't fit: these are "
-            + "%.2f times what load.plans has such tenants ask, not %.1f to %.1f", times, 1 / MOST_TIMES, MOST_TIMES));
+        double more = size.requestsPerS / asked;
+        plans.replaceAll(plan -> with(plan, plan.customers(), plan.use() * more));
+        check(more >= 1 / MOST_TIMES && more <= MOST_TIMES, String.format(Locale.ROOT, "has tenants and requests-per-s that don't fit: these are "
+            + "%.2f times what load.plans has such tenants ask, not %.1f to %.1f", more, 1 / MOST_TIMES, MOST_TIMES));
         double shares = load.classes().stream().mapToDouble(Scenario.Kind::share).sum();
         double work = load.classes().stream().mapToDouble(kind -> kind.share() * kind.workMs()).sum() / shares;
         double wanted = busy * servers.cores() * size.servers / size.requestsPerS * MS;
         List<Scenario.Kind> classes = load.classes().stream().map(kind -> new Scenario.Kind(kind.name(), kind.share(), kind.keyed(), kind.aimS(),
             kind.deadlineS(), kind.workMs() * wanted / work, kind.worth())).toList();
-        return new Scenario(name, seed, spanS, new Scenario.Fleet(zones, size.nodes, size.servers, regions), servers, counter,
-            new Scenario.Traffic(load.shiftS(), load.skew(), load.noticeS(), classes, plans, load.retries()), null, List.of(), 0);
+        return new Scenario(name, seed, times.spanS, new Scenario.Fleet(zones, size.nodes, size.servers, regions), servers, counter,
+            new Scenario.Traffic(load.shiftS(), load.skew(), load.noticeS(), classes, plans, load.retries()), null, faults(zones, times, size), 0);
+    }
+
+    private static List<Scenario.Fault> faults(List<String> zones, ModelSizes times, ModelSize size) {
+        double at = times.fromS + 1, until = at + (times.spanS - at) / EVENT_PART;
+        if (size.event == null) {
+            return List.of();
+        }
+        return switch (size.event) {
+            case ROLLOUT -> {
+                int its = size.servers / size.services;
+                yield IntStream.range(0, its).mapToObj(i -> {
+                    double begins = at + (times.spanS - at) / 2 * i / its;
+                    return fault(begins, begins + (times.spanS - at) / EVENT_PART, Scenario.Trouble.DRAIN, "node:s" + i, null);
+                }).toList();
+            }
+            case ZONE_LOST -> List.of(fault(at, until, Scenario.Trouble.KILL, "zone:" + zones.get(zones.size() - 1), null));
+            case COLD_START -> List.of(fault(at, at + 1, Scenario.Trouble.KILL, "*", null));
+            case COUNTER_GONE -> List.of(fault(at, until, null, null, Scenario.CounterTrouble.GONE));
+        };
+    }
+
+    private static Scenario.Fault fault(double at, double until, Scenario.Trouble what, String whom, Scenario.CounterTrouble counter) {
+        return new Scenario.Fault(at, until, null, null, null, null, null, null, what, whom, counter);
     }
 
     private static Scenario.Customers with(Scenario.Customers plan, int customers, double use) {
--- a/lab/src/main/java/thistlefall/lab/scale/ScaleTables.java
+++ b/lab/src/main/java/thistlefall/lab/scale/ScaleTables.java
@@ -10,6 +10,8 @@
 
 /** What was measured, as tables in Markdown: a row for each figure, a column for each size, the median (least to most) of its plays. */
 public final class ScaleTables {
+    private static final List<String> SHOWN = List.of("nodes", "servers", "real");
+
     private ScaleTables() {
     }
 
@@ -46,8 +48,8 @@
     }
 
     private static String label(SortedMap<String, Double> size) {
-        return size.entrySet().stream().filter(one -> List.of("nodes", "servers", "real").contains(one.getKey()))
-            .map(one -> one.getKey() + " " + number(one.getValue())).collect(Collectors.joining(", "));
+        return size.entrySet().stream().filter(one -> SHOWN.contains(one.getKey()) || !Point.AMOUNTS.contains(one.getKey()))
+            .map(one -> Point.AMOUNTS.contains(one.getKey()) ? one.getKey() + " " + number(one.getValue()) : one.getKey()).collect(Collectors.joining(", "));
     }
 
     private static String cell(List<Point> points, String name) {
--- a/lab/src/main/java/thistlefall/lab/scale/Slope.java
+++ b/lab/src/main/java/thistlefall/lab/scale/Slope.java
@@ -2,17 +2,12 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import thistlefall.lab.scale.CapacityFile.Line;
 
 /** What measured points say of a line of the capacity tables: its slope over size, and the figure that follows. */
 final class Slope {
-    /** Keys of a size that are about how much there is; any other is a trouble, wanted only where a line names it. */
-    private static final Set<String> AMOUNTS = Set.of("nodes", "servers", "services", "tenants", "requests-per-s", "real", "hollow",
-        "real-requests-per-s", "hollow-requests-per-s");
-
     private final Line line;
     /** All plays of a size, from the least to the most, by the size's value of the line's {@code by}. */
     private final TreeMap<Double, double[]> measured = new TreeMap<>();
@@ -25,7 +20,7 @@
 
     private boolean concerns(Point point) {
         return point.side() == line.side() && point.figures().containsKey(line.figure()) && point.size().containsKey(line.by())
-            && point.size().keySet().stream().allMatch(key -> AMOUNTS.contains(key) || line.where().containsKey(key))
+            && point.size().keySet().stream().allMatch(key -> Point.AMOUNTS.contains(key) || line.where().containsKey(key))
             && line.where().entrySet().stream().allMatch(one -> one.getValue().equals(point.size().get(one.getKey())));
     }
 
--- a/lab/src/main/java/thistlefall/lab/scale/Tally.java
+++ b/lab/src/main/java/thistlefall/lab/scale/Tally.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import thistlefall.lab.judge.Event;
 import thistlefall.lab.scenario.Scenario;
 
@@ -12,6 +13,7 @@
  * under way, not how long it goes on. Only tries asked from {@code from} to {@code until} count; the quotas see all.
  */
 final class Tally implements Consumer<Event> {
+    private static final long SECOND = 1_000_000_000L;
     private static final int OK = 200, TOO_MANY = 429, UNAVAILABLE = 503;
 
     private static final class Try {
@@ -30,6 +32,10 @@
     private final int servers;
     private long tries, served, inAim, refused, within, refusedWithRoom, sent, beyond, left;
     private final long[] aims;
+    /** By seconds: tries asked, and of these those served in their aim. */
+    private final long[] asked, good;
+    private int fell;
+    private double pressure;
     /** The plans whose customers ask no more than their quota. */
     private final boolean[] modest;
 
@@ -37,6 +43,8 @@
     Tally(Scenario scenario, long from, long until) {
         this.from = from;
         this.until = until;
+        asked = new long[(int) Math.ceil((until - from) / SECOND)];
+        good = new long[asked.length];
         quotas = new Quotas(scenario.plans());
         servers = scenario.topology().servers();
         modest = new boolean[scenario.plans().size()];
@@ -48,10 +56,13 @@
 
     @Override
     public void accept(Event event) {
-        if (event instanceof Event.Asked asked) {
-            open.put(asked.id(), new Try(asked));
-            tries += counts(asked) ? 1 : 0;
-            within += counts(asked) && modest[asked.plan()] ? 1 : 0;
+        if (event instanceof Event.Asked one) {
+            open.put(one.id(), new Try(one));
+            if (counts(one)) {
+                tries++;
+                within += modest[one.plan()] ? 1 : 0;
+                asked[second(one)]++;
+            }
         } else if (event instanceof Event.Sent one) {
             sent(one);
         } else if (event instanceof Event.Answered answered) {
@@ -63,9 +74,17 @@
             over(one.id());
         } else if (event instanceof Event.Broken one) {
             over(one.id());
+        } else if (event instanceof Event.Fell) {
+            fell++;
+        } else if (event instanceof Event.Pressed one) {
+            pressure = Math.max(pressure, one.share());
         }
     }
 
+    private int second(Event.Asked of) {
+        return (int) ((of.at() - from) / SECOND);
+    }
+
     private boolean counts(Event.Asked asked) {
         return asked.at() >= from && asked.at() < until;
     }
@@ -88,16 +107,18 @@
         }
     }
 
-    private void answered(Event.Asked asked, Event.Answered answered) {
-        if (!counts(asked)) {
+    private void answered(Event.Asked of, Event.Answered answered) {
+        if (!counts(of)) {
             return;
         }
         if (answered.status() == OK) {
             served++;
-            inAim += answered.at() - asked.at() <= aims[asked.requestClass()] ? 1 : 0;
+            boolean timely = answered.at() - of.at() <= aims[of.requestClass()];
+            inAim += timely ? 1 : 0;
+            good[second(of)] += timely ? 1 : 0;
         } else if (answered.status() == TOO_MANY || answered.status() == UNAVAILABLE) {
             refused++;
-            refusedWithRoom += modest[asked.plan()] && quotas.room(answered.at(), asked.customer(), asked.plan()) ? 1 : 0;
+            refusedWithRoom += modest[of.plan()] && quotas.room(answered.at(), of.customer(), of.plan()) ? 1 : 0;
         } else {
             left++;
         }
@@ -108,17 +129,20 @@
      * their quota, and those beyond the quota of all that were sent on.
      */
     void figures(Map<String, Double> to) {
-        to.put("tries-per-s", tries / ((until - from) / 1e9));
+        to.put("tries-per-s", tries / ((until - from) / (double) SECOND));
         to.put("served-share", share(served, tries));
         to.put("served-in-aim-share", share(inAim, tries));
         to.put("refused-share", share(refused, tries));
         to.put("refused-with-room-share", share(refusedWithRoom, within));
+        to.put("served-in-aim-worst-s-share", IntStream.range(0, asked.length).mapToDouble(i -> share(good[i], asked[i])).min().orElse(0));
+        to.put("servers-fallen", (double) fell);
+        to.put("cold-pressure", pressure);
         to.put("failed-share", share(left, tries));
         to.put("beyond-quota-share", share(beyond, sent));
         int[] sorted = attempts.values().stream().mapToInt(one -> one).sorted().toArray();
         double mean = Arrays.stream(sorted).sum() / (double) servers;
         to.put("attempts-most-over-mean", sorted.length == 0 ? 0 : sorted[sorted.length - 1] / mean);
-        to.put("attempts-per-server-s", mean / ((until - from) / 1e9));
+        to.put("attempts-per-server-s", mean / ((until - from) / (double) SECOND));
         to.put("servers-reached-share", share(sorted.length, servers));
     }
 
--- a/lab/src/test/java/thistlefall/lab/scale/ScaleFileTest.java
+++ b/lab/src/test/java/thistlefall/lab/scale/ScaleFileTest.java
@@ -23,8 +23,7 @@
     @Test
     void theSizesOfTheTargetFitEachOther() throws Exception {
         ScaleFile file = ScaleFile.read(FILE);
-        ModelSize last = file.model().sizes().get(file.model().sizes().size() - 1);
-        assertEquals(new ModelSize(950, 8_900, 180, 70_000, 67_000), last);
+        assertEquals(new ModelSize(950, 8_900, 180, 70_000, 67_000, null), file.model().sizes().get(3));
         for (ModelSize size : file.model().sizes()) {
             Scenario scenario = file.scenario(size, 7);
             double asked = scenario.plans().stream().mapToDouble(plan -> plan.customers() * plan.rate() * plan.use()).sum();
@@ -44,7 +43,7 @@
             good.replace("south: [d, e]", "south: [c, e]"), "regions has a zone twice",
             good.replace("services: 180", "services: 8901"), "model.sizes.3 services is not 1 to the servers, 8900",
             good.replace("{nodes: 300, servers: 3000", "{nodes: 4, servers: 3000"), "model.sizes.2 has fewer nodes or servers than zones: 5",
-            good.replace("servers: 200, requests", "servers: 4, requests"), "sockets.sizes.0 has fewer servers than zones: 5",
+            good.replace("servers: 200, real", "servers: 4, real"), "sockets.sizes.0 has fewer servers than zones: 5",
             good.replace("tenants: 22200", "tenants: 2200"), "model.sizes.2 has tenants and requests-per-s that don't fit",
             good.replace("servers: 8900", "servers: 10001"), "model.sizes.3 servers is not 1 to 10000",
             good.replace("from-s: 10\n  span-s: 20\n  sizes:\n    - {nodes", "from-s: 20\n  span-s: 20\n  sizes:\n    - {nodes"), "from-s is not 0 or more and below span-s",
