--- a/lab/src/main/java/thistlefall/lab/cli/Scale.java
+++ b/lab/src/main/java/thistlefall/lab/cli/Scale.java
@@ -59,6 +59,10 @@
             ScaleFile read = ScaleFile.read(file);
             List<Point> points = new ArrayList<>();
             List<Planned> plays = plays(read);
+            if (plays.isEmpty()) {
+                System.err.println(file + ": has no such side or sizes");
+                return 2;
+            }
             String date = LocalDate.now().toString(), command = String.join(" ", spec.root().commandLine().getParseResult().originalArgs());
             Path folder = out != null ? out : Path.of("target", "scale", read.name());
             for (Planned one : plays) {
--- a/lab/src/main/java/thistlefall/lab/cli/ScaleReport.java
+++ b/lab/src/main/java/thistlefall/lab/cli/ScaleReport.java
@@ -9,8 +9,11 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
+import thistlefall.lab.report.ScalePage;
 import thistlefall.lab.scale.CapacityFile;
 import thistlefall.lab.scale.CapacityTables;
+import thistlefall.lab.scale.Curve;
+
 import thistlefall.lab.scale.ScaleResult;
 import thistlefall.lab.scale.ScaleTables;
 
@@ -26,6 +29,9 @@
     @Option(names = "--page", paramLabel = "FILE", description = "a page of which what stands between its two marks is written anew; printed if left out")
     private Path page;
 
+    @Option(names = "--plots", paramLabel = "FILE", description = "an HTML page with each line over size and its budget")
+    private Path plots;
+
     @Override
     public Integer call() {
         List<ScaleResult> results = new ArrayList<>();
@@ -38,7 +44,11 @@
             }
         }
         try {
-            String tables = ScaleTables.of(results) + CapacityTables.of(CapacityFile.own(), results);
+            CapacityFile own = CapacityFile.own();
+            String tables = ScaleTables.of(results) + CapacityTables.of(own, results);
+            if (plots != null) {
+                ScalePage.write(Curve.of(own, results), plots);
+            }
             if (page == null) {
                 System.out.print(tables);
             } else {
--- a/lab/src/main/java/thistlefall/lab/scale/CapacityFile.java
+++ b/lab/src/main/java/thistlefall/lab/scale/CapacityFile.java
@@ -22,7 +22,7 @@
      * @param when in calm, at a rollout and so on
      * @param unit of the figure and its budget
      * @param side from whose points; null for an assumed one
-     * @param figure the points' figure that is its slope
+     * @param figure the points' figure that is its slope; several are added up, with {@code +} between them
      * @param by the key of the points' sizes over which the slope is interpolated
      * @param where only points whose size has these values
      * @param assumed the slope, where none was measured
--- a/lab/src/test/java/thistlefall/lab/cli/LabTest.java
+++ b/lab/src/test/java/thistlefall/lab/cli/LabTest.java
@@ -50,6 +50,29 @@
         assertEquals(html, Files.readString(page));
     }
 
+    @Test
+    void sizesArePlayedOneAfterTheOtherAndMakeTablesAndPlots() throws Exception {
+        Path file = folder.resolve("small.yaml");
+        String target = Files.readString(Path.of("scale/target.yaml"));
+        Files.writeString(file, target.substring(0, target.indexOf("model:")) + "model:\n  from-s: 1\n  span-s: 4\n  sizes:\n"
+            + "    - {nodes: 5, servers: 10, services: 1, tenants: 370, requests-per-s: 350}\n"
+            + "    - {nodes: 10, servers: 20, services: 1, tenants: 740, requests-per-s: 700}\n"
+            + "    - {nodes: 10, servers: 20, services: 1, tenants: 740, requests-per-s: 700, event: counter-gone}\n");
+        assertEquals(0, lab("scale", file.toString(), "--side", "model", "--seeds", "8..9", "--out", folder.resolve("made").toString()), said);
+        assertTrue(said.contains("6 of 6: model, seed 9") && said.contains("4 of 4 s"), said);
+        Path plots = folder.resolve("plots.html");
+        assertEquals(0, lab("scale", "report", folder.resolve("made").toString(), "--plots", plots.toString()), said);
+        assertTrue(said.contains("| model | nodes 5, servers 10 | nodes 10, servers 20 | counter-gone, nodes 10, servers 20 |"), said);
+        assertTrue(said.contains("| plays | 2 | 2 | 2 |") && said.contains("### In what order budgets break"), said);
+        assertTrue(Files.readString(plots).contains("data:image/png;base64,"));
+        assertEquals(0, lab("scale", file.toString(), "--side", "model", "--sizes", "1..1", "--out", folder.resolve("made").toString()), said);
+        assertTrue(said.contains("1 of 1: model, seed 1, ModelSize[nodes=5"), said);
+        for (String[] bad : new String[][] {{"scale"}, {"scale", file.toString(), "--side", "sockets"}, {"scale", file.toString(), "--sizes", "4..9"},
+            {"scale", "scenarios/calm.yaml"}, {"scale", "report", folder.resolve("none").toString()}}) {
+            assertEquals(2, lab(bad), said);
+        }
+    }
+
     @Test
     void whatCanNotBePlayedIsToldInOneLine() throws Exception {
         Path bad = folder.resolve("bad.yaml");
