A size on sockets tells its nodes a fleet larger than what is played

Need: a choice looks at 3 servers in siblings of the list, so a node that is told a fleet of three acts as none of 950 would. SocketsSize.fleet is what settings tell; 0 for the nodes that are played.

--- a/lab/src/main/java/thistlefall/lab/scale/ScaleFile.java
+++ b/lab/src/main/java/thistlefall/lab/scale/ScaleFile.java
@@ -120,14 +120,16 @@
      *
      * @param real edge nodes that are processes of their own
      * @param hollow edge nodes that share one process
+     * @param fleet how many edge nodes their settings tell, these and others that are not there; 0 for these alone
      * @param realRequestsPerS requests a second at each real one; 0 for none
      * @param hollowRequestsPerS requests a second at each hollow one; 0 for none
      * @param trouble null for none
      */
-    public record SocketsSize(int real, int hollow, int servers, double realRequestsPerS, double hollowRequestsPerS, ControlTrouble trouble) {
+    public record SocketsSize(int real, int hollow, int fleet, int servers, double realRequestsPerS, double hollowRequestsPerS, ControlTrouble trouble) {
         /** Checks its ranges; the message names the figure. */
         public SocketsSize {
             check(real >= 0 && hollow >= 0 && real + hollow >= 1, "real and hollow are not 0 or more, and 1 together");
+            check(fleet == 0 || fleet >= real + hollow, "fleet is not 0, and less than real and hollow together");
             check(servers >= 1, "servers is not 1 or more");
             check(realRequestsPerS >= 0 && hollowRequestsPerS >= 0, "real-requests-per-s or hollow-requests-per-s is below 0");
         }
@@ -135,7 +137,7 @@
         /** What tells it from others, as a point has it; its trouble is told by a figure 1 of its name. */
         public SortedMap<String, Double> key() {
             SortedMap<String, Double> key = new TreeMap<>(Map.of("nodes", (double) real + hollow, "real", (double) real, "hollow", (double) hollow,
-                "servers", (double) servers, "real-requests-per-s", realRequestsPerS, "hollow-requests-per-s", hollowRequestsPerS));
+                "fleet", (double) Math.max(fleet, real + hollow), "servers", (double) servers, "real-requests-per-s", realRequestsPerS, "hollow-requests-per-s", hollowRequestsPerS));
             if (trouble != null) {
                 key.put(trouble.name().toLowerCase(Locale.ROOT).replace('_', '-'), 1.0);
             }
--- a/lab/src/main/java/thistlefall/lab/scale/sockets/SocketsScale.java
+++ b/lab/src/main/java/thistlefall/lab/scale/sockets/SocketsScale.java
@@ -136,7 +136,9 @@
             // None knows a list: the first one comes by discovery.
             ObjectNode one = (ObjectNode) JSON.readTree(NodeConfig.text(topology, load, topology.nodes().get(i), any, standIns.discovery(),
                 standIns.counter(), new Roll(0, true, List.of()), chance.nextLong()));
-            ((ObjectNode) one.path("settings").path("caps")).put("keepalive-ns", (long) (file.idleS() * SECOND));
+            ObjectNode settings = (ObjectNode) one.path("settings");
+            settings.put("siblings", Math.max(size.fleet(), topology.nodes().size()));
+            ((ObjectNode) settings.path("caps")).put("keepalive-ns", (long) (file.idleS() * SECOND));
             all.add(JSON.writeValueAsString(one));
         }
         return all;
--- a/lab/src/test/java/thistlefall/lab/scale/sockets/SocketsScaleTest.java
+++ b/lab/src/test/java/thistlefall/lab/scale/sockets/SocketsScaleTest.java
@@ -43,7 +43,7 @@
 
     @Test
     void realAndHollowNodesHearOfAllChanges() throws Exception {
-        SortedMap<String, Double> figures = play(new SocketsSize(3, 20, 200, 40, 0, null), 1, 4);
+        SortedMap<String, Double> figures = play(new SocketsSize(3, 20, 0, 200, 40, 0, null), 1, 4);
         every(figures, "change-of-one", "rollout", "zone", "whole-list");
         assertTrue(figures.get("real-served-share") > 0.8, () -> "seed " + SEED + ": " + figures);
         assertTrue(figures.get("counter-calls-per-asked-node-s") > 0.5, () -> "seed " + SEED + ": " + figures);
@@ -55,7 +55,7 @@
 
     @Test
     void aSizeThatDoesNotFitIsRefusedBeforeItStarts() {
-        IOException refused = assertThrows(IOException.class, () -> play(new SocketsSize(20, 10_000, 8_900, 0, 0, null), 1, 2));
+        IOException refused = assertThrows(IOException.class, () -> play(new SocketsSize(20, 10_000, 0, 8_900, 0, 0, null), 1, 2));
         assertTrue(refused.getMessage().contains("memory: "), refused.getMessage());
         assertTrue(refused.getMessage().contains(" MB is the most here"), refused.getMessage());
         assertEquals(1, refused.getMessage().lines().count());
@@ -65,16 +65,16 @@
     @Test
     void descriptorsAreCountedForEachProcess() {
         Fit fit = new Fit(1L << 40, 1_000);
-        fit.check(new SocketsSize(3, 50, 200, 0, 0, null));
-        String more = assertThrows(IllegalArgumentException.class, () -> fit.check(new SocketsSize(3, 50, 200, 70, 0, null))).getMessage();
+        fit.check(new SocketsSize(3, 50, 0, 200, 0, 0, null));
+        String more = assertThrows(IllegalArgumentException.class, () -> fit.check(new SocketsSize(3, 50, 0, 200, 70, 0, null))).getMessage();
         assertEquals("descriptors of the lab's process: 2124 wanted, 1000 is the most here", more);
-        String servers = assertThrows(IllegalArgumentException.class, () -> fit.check(new SocketsSize(1, 0, 100_000, 0, 0, null))).getMessage();
+        String servers = assertThrows(IllegalArgumentException.class, () -> fit.check(new SocketsSize(1, 0, 0, 100_000, 0, 0, null))).getMessage();
         assertEquals("servers: 100000 wanted, 65000 is the most here", servers);
     }
 
     @Test
     void answersOfTheCounterThatAreCutAreCountedAndNoHang() throws Exception {
-        SortedMap<String, Double> figures = play(new SocketsSize(3, 2, 20, 40, 0, ControlTrouble.COUNTER_CUTS), 1, 3);
+        SortedMap<String, Double> figures = play(new SocketsSize(3, 2, 0, 20, 40, 0, ControlTrouble.COUNTER_CUTS), 1, 3);
         assertTrue(figures.get("answers-cut") > 0, () -> "seed " + SEED + ": " + figures);
         every(figures, "change-of-one", "whole-list");
     }
@@ -83,7 +83,7 @@
     @ParameterizedTest
     @EnumSource
     void noTroubleOfAControlMachineHangsARun(ControlTrouble trouble) throws Exception {
-        SortedMap<String, Double> figures = play(new SocketsSize(3, 20, 200, 70, 0, trouble), 5, 15);
+        SortedMap<String, Double> figures = play(new SocketsSize(3, 20, 0, 200, 70, 0, trouble), 5, 15);
         System.out.println(trouble + " " + figures);
         every(figures, "change-of-one", "rollout", "zone", "whole-list");
         switch (trouble) {
@@ -98,8 +98,8 @@
     @Tag("measure")
     @Test
     void aHollowNodeIsTrue() throws Exception {
-        SortedMap<String, Double> real = play(new SocketsSize(3, 0, 200, 70, 0, null), 10, 70);
-        SortedMap<String, Double> hollow = play(new SocketsSize(0, 3, 200, 0, 70, null), 10, 70);
+        SortedMap<String, Double> real = play(new SocketsSize(3, 0, 0, 200, 70, 0, null), 10, 70);
+        SortedMap<String, Double> hollow = play(new SocketsSize(0, 3, 0, 200, 0, 70, null), 10, 70);
         for (String figure : List.of("counter-calls-per-asked-node-s", "counter-to-node-bytes-per-asked-node-s",
             "counter-from-node-bytes-per-asked-node-s", "discovery-to-node-bytes-per-node-s", "archive-servers-to-node-bytes-per-asked-node-s",
             "archive-servers-from-node-bytes-per-asked-node-s", "attempts-per-asked-node-s", "connections-opened-per-attempt",
