--- a/lab/src/main/java/thistlefall/lab/scale/Point.java
+++ b/lab/src/main/java/thistlefall/lab/scale/Point.java
@@ -15,7 +15,7 @@
  */
 public record Point(Side side, long seed, SortedMap<String, Double> size, SortedMap<String, Double> figures) {
     /** The keys of a size that are about how much there is; any other names something that happened, its value 1. */
-    static final Set<String> AMOUNTS = Set.of("nodes", "servers", "services", "tenants", "requests-per-s", "real", "hollow", "real-requests-per-s",
+    static final Set<String> AMOUNTS = Set.of("nodes", "servers", "services", "tenants", "requests-per-s", "real", "hollow", "fleet", "real-requests-per-s",
         "hollow-requests-per-s");
 
     /** On what it was played. */
--- a/lab/src/test/java/thistlefall/lab/scale/ScaleFileTest.java
+++ b/lab/src/test/java/thistlefall/lab/scale/ScaleFileTest.java
@@ -56,6 +56,14 @@
         }
     }
 
+    /** Tables keep a size with another key apart, as one with a trouble. */
+    @Test
+    void aCalmSizeHasNoKeysButThoseOfAmounts() throws Exception {
+        ScaleFile file = ScaleFile.read(FILE);
+        file.model().sizes().forEach(size -> assertEquals(size.event() == null, Point.AMOUNTS.containsAll(size.key().keySet()), size.toString()));
+        file.sockets().sizes().forEach(size -> assertEquals(size.trouble() == null, Point.AMOUNTS.containsAll(size.key().keySet()), size.toString()));
+    }
+
     @Test
     void aResultIsReadAsItWasWritten(@TempDir Path folder) throws Exception {
         ScaleFile file = ScaleFile.read(FILE);
