One meter that stays off for all the clients' pools

Cause: each of the clients' pools had a meter of its own with an empty histogram of 221 KB, which the figure of the module's memory and the play's heap counted for each node: 275 KB at 100 x 200 where the module holds some 55.

--- a/lab/src/main/java/thistlefall/lab/cli/ScaleReport.java
+++ b/lab/src/main/java/thistlefall/lab/cli/ScaleReport.java
@@ -13,7 +13,6 @@
 import thistlefall.lab.scale.CapacityFile;
 import thistlefall.lab.scale.CapacityTables;
 import thistlefall.lab.scale.Curve;
-
 import thistlefall.lab.scale.ScaleResult;
 import thistlefall.lab.scale.ScaleTables;
 
--- a/lab/src/main/java/thistlefall/lab/model/ClientsHost.java
+++ b/lab/src/main/java/thistlefall/lab/model/ClientsHost.java
@@ -31,7 +31,8 @@
         this.nodes = nodes;
         this.asking = asking;
         this.history = history;
-        nodes.forEach(node -> pools.add(new Pool(timeline, network, party, node, CONNECT, Pool.EVER, new Meter())));
+        Meter off = new Meter();
+        nodes.forEach(node -> pools.add(new Pool(timeline, network, party, node, CONNECT, Pool.EVER, off)));
     }
 
     /** Sends all at their times from now on. */
