--- a/lab/src/main/java/thistlefall/lab/model/Model.java
+++ b/lab/src/main/java/thistlefall/lab/model/Model.java
@@ -174,7 +174,8 @@
 
     /** What was asked is over before the counts are read, each in its time. */
     private void finish(long begun) throws IOException, InterruptedException {
-        while (timeline.now() < begun + longest() && !nodes.stream().allMatch(NodeHost::idle)) {
+        long until = begun + longest();
+        while (timeline.now() < until && !nodes.stream().allMatch(NodeHost::idle)) {
             play(begun, timeline.now() + HEARD);
         }
         play(begun, timeline.now() + HEARD);
