The connection that is idle longest is found without a look at each listed server

Change: idle connections lie in one set in the order in which they came to rest; the order of closing is the same.

ServersTest 15 of 15.

--- a/edge/src/main/java/thistlefall/node/connections/Servers.java
+++ b/edge/src/main/java/thistlefall/node/connections/Servers.java
@@ -60,7 +60,8 @@
     private final Host host;
     private final Counts counts;
     private final SplittableRandom random;
-    private final Set<Target> targets = new LinkedHashSet<>();
+    /** All idle connections, the one that has been so longest first: thousands of archive servers have none. */
+    private final Set<Link> resting = new LinkedHashSet<>();
     private final long keep;
     private int most = Integer.MAX_VALUE, perTarget = Integer.MAX_VALUE, open;
     /** What a connect takes, and a first answer beyond what a later one does, in nanoseconds. */
@@ -92,30 +93,24 @@
 
     /** An archive server that was listed: one run of it at one address. */
     public Target add(Object address, boolean cold) {
-        Target target = new Target(address, cold);
-        targets.add(target);
-        return target;
+        return new Target(address, cold);
     }
 
     /** Closes the connection that has been idle longest, of another than this one; false if there is none. */
     private boolean closeOldestIdle(Target but) {
-        Link oldest = null;
-        for (Target target : targets) {
-            Link link = target == but ? null : target.idle.peekLast();
-            oldest = link != null && (oldest == null || link.since < oldest.since) ? link : oldest;
-        }
-        if (oldest != null) {
-            oldest.end();
+        for (Link link : resting) {
+            if (link.target != but) {
+                link.end();
+                return true;
+            }
         }
-        return oldest != null;
+        return false;
     }
 
     /** Closes what has been idle for as long as it may. */
     public void sweep(long now) {
-        for (Target target : targets) {
-            while (!target.idle.isEmpty() && now - target.idle.peekLast().since > keep) {
-                target.idle.peekLast().end();
-            }
+        while (!resting.isEmpty() && now - resting.iterator().next().since > keep) {
+            resting.iterator().next().end();
         }
     }
 
@@ -263,9 +258,6 @@
         public void retire() {
             retired = true;
             clear();
-            if (open() == 0) {
-                targets.remove(this);
-            }
         }
     }
 
@@ -299,7 +291,7 @@
         }
 
         private void use(long now, Wanting attempt) {
-            target.idle.remove(this);
+            noRest();
             if (used) {
                 counts.reused.incrementAndGet();
             }
@@ -313,6 +305,12 @@
             state = State.IDLE;
             since = now;
             target.idle.push(this);
+            resting.add(this);
+        }
+
+        private void noRest() {
+            target.idle.remove(this);
+            resting.remove(this);
         }
 
         private void end() {
@@ -420,13 +418,10 @@
         private void closed() {
             target.dialing -= state == State.DIALING ? 1 : 0;
             state = State.CLOSED;
-            target.idle.remove(this);
+            noRest();
             target.busy.remove(this);
             open--;
             counts.serversOpen.set(open);
-            if (target.retired && target.open() == 0) {
-                targets.remove(target);
-            }
         }
 
         /** It is closed, by whichever side, and who waits may need another; may be repeated. */
