The figure of avoided servers works out no risk that can't be one

Cause: the count of avoided servers, told each 200 ms, works out an exponential for each listed server. Change: a risk lies between a server's own errors and its zone's, so it is worked out where one of the two is above the bound.

MechanismTest, RulesTest, OpsServerTest, SizeTest green.

--- a/edge/src/main/java/thistlefall/Gateway.java
+++ b/edge/src/main/java/thistlefall/Gateway.java
@@ -290,7 +290,10 @@
 
     /** The servers of the list that are avoided now: out by hand, draining, or failing too often. */
     public List<String> avoided() {
-        return servers.values().stream().filter(b -> b.named && (!b.ready || b.risk() > SHUN))
+        // A risk lies between a server's own errors and its zone's: hardly any is to be worked out.
+        double usual = zoneErrors.values().stream().mapToDouble(errors -> errors).max().orElse(0);
+        return servers.values().stream()
+            .filter(b -> b.named && (!b.ready || Math.max(b.errors, usual) > SHUN && b.risk() > SHUN))
             .map(b -> b.id).toList();
     }
 
