Processor time without requests, in the processes that had them; the sockets side's design

Need: control apart from requests, by the difference of two spans of one play: the same processes, compiled alike. Measured: SocketsScaleTest green, its play of 3 real, 20 hollow and 200 servers among it.

--- a/lab/src/main/java/thistlefall/lab/scale/sockets/SocketsScale.java
+++ b/lab/src/main/java/thistlefall/lab/scale/sockets/SocketsScale.java
@@ -33,7 +33,7 @@
 /**
  * Plays a size over loopback: real edge nodes as processes, hollow ones in one process, and stand-ins in this one. First a calm
  * span is measured, with or without requests; then the list changes, by one entry, by a rollout of a service, by a zone, and all
- * of it at once, while requests go on. Each wait has an end, so the play has one too.
+ * of it at once, while requests go on; at last processor time is measured without them. Each wait has an end, so the play has one too.
  */
 public final class SocketsScale {
     private static final double SECOND = 1e9, MS = 1e6, MB = 1 << 20, DIRECT_PER_S = 70;
@@ -44,6 +44,8 @@
     private static final long LOOK_MS = 20;
     /** How long requests go on after the calm span, for the changes: so long, or half of the span if that is less. */
     private static final double CHANGES_S = 6;
+    /** For how long processor time without requests is measured at the end, or half of the span if that is less; and the rest before. */
+    private static final double ALONE_S = 10, REST_S = 1;
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final ScaleFile file;
@@ -169,6 +171,25 @@
         hollow.await();
         direct.await();
         latencies(first.at, last.at);
+        alone();
+    }
+
+    /** Processor time once requests are over: that of control but for calls to the counter, which follow from requests. */
+    private void alone() throws IOException, InterruptedException {
+        sleepUntil(System.nanoTime() + (long) (REST_S * SECOND));
+        Moment first = now();
+        sleepUntil(first.at + (long) (Math.min(ALONE_S, file.sockets().spanS() / 2) * SECOND));
+        Moment last = now();
+        if (size.real() > 0) {
+            double share = cpu(first, last) / size.real() / ((last.at - first.at) / SECOND);
+            figures.put("real-cpu-without-requests-core-share", share);
+            figures.put("real-cpu-by-requests-core-share", Math.max(0, figures.get("real-cpu-core-share") - share));
+        }
+    }
+
+    /** Processor time of all real nodes between two moments, in seconds. */
+    private double cpu(Moment first, Moment last) {
+        return IntStream.range(0, size.real()).mapToDouble(i -> last.reals.get(i).cpuS() - first.reals.get(i).cpuS()).sum();
     }
 
     private static void sleepUntil(long at) throws InterruptedException {
@@ -221,8 +242,7 @@
 
     private void usage(Moment first, Moment last, double span) {
         if (size.real() > 0) {
-            figures.put("real-cpu-core-share", IntStream.range(0, size.real())
-                .mapToDouble(i -> last.reals.get(i).cpuS() - first.reals.get(i).cpuS()).sum() / size.real() / span);
+            figures.put("real-cpu-core-share", cpu(first, last) / size.real() / span);
             Map<String, Double> threads = new TreeMap<>();
             for (int i = 0; i < size.real(); i++) {
                 last.reals.get(i).byThread().forEach((name, cpu) -> threads.merge(kind(name), cpu, Double::sum));
