--- a/edge/src/main/java/thistlefall/Gateway.java
+++ b/edge/src/main/java/thistlefall/Gateway.java
@@ -32,6 +32,8 @@
     /** Weight of an answer in a server's averages; memory, in seconds, of these and of the others' use. */
     private static final double ALPHA = 0.12, ALPHA_ERR = 0.2, FORGIVE_S = 4, OTHERS_S = 3,
         TALLY_S = 5;
+    /** For how long a server no longer named is remembered, in seconds; what is known ages far sooner. */
+    private static final int FORGET_S = 60;
     /** How many times what cold servers took in the last seconds they may take where none is warm. */
     private static final double GROWTH = 4;
     /** A server of which this part fails counts as avoided. */
@@ -97,7 +99,7 @@
         if (kind == ListKind.FAILED) {
             out.watchList();
         } else if (kind != ListKind.DELTA) {
-            List<String> named = entries.stream().map(Server::id).toList();
+            Set<String> named = entries.stream().map(Server::id).collect(Collectors.toSet());
             servers.values().stream().filter(b -> !named.contains(b.id)).forEach(b -> b.named = false);
         }
         for (Server entry : entries) {
@@ -114,6 +116,7 @@
 
     /** Takes the servers that may be sent to anew from the list and from what operators keep out. */
     private void relist() {
+        servers.values().removeIf(Backend::forgotten);
         for (Backend b : servers.values()) {
             b.ready = b.named && b.entry.readiness() == Readiness.READY && !leftOut.contains(b.id)
                 && handShare(b.entry.zone()) > 0;
@@ -287,7 +290,10 @@
 
     /** The servers of the list that are avoided now: out by hand, draining, or failing too often. */
     public List<String> avoided() {
-        return servers.values().stream().filter(b -> b.named && (!b.ready || b.risk() > SHUN))
+        // A risk lies between a server's own errors and its zone's: hardly any is to be worked out.
+        double usual = zoneErrors.values().stream().mapToDouble(errors -> errors).max().orElse(0);
+        return servers.values().stream()
+            .filter(b -> b.named && (!b.ready || Math.max(b.errors, usual) > SHUN && b.risk() > SHUN))
             .map(b -> b.id).toList();
     }
 
@@ -1054,6 +1060,12 @@
             errors = zoneErrors.getOrDefault(entry.zone(), 0.0);
         }
 
+        /** Off the list for long: each restart may name a server anew, and memory must not follow all. */
+        boolean forgotten() {
+            boolean known = named || !outstanding.isEmpty() || leftOut.contains(id);
+            return !known && now - heard > FORGET_S * SECOND;
+        }
+
         boolean cold() { return coldSince > 0 && now - coldSince < cfg.rules().coldSpan(); }
 
         double warmth() {
