An answer passed on that is not out in its client's time is cut by a reset

From answerBegan on no deadline bound an answer (EdgeNode.answerBegan cancelled the backstop, ServerPool.passOn the attempt's time-out); what was left was Relay's 8 s without progress, so an answer that stops behind 64 KiB kept its client for 8 s with neither an end nor a break, and one that goes on without end for good: lost, half a second after its time. Now it is reset 50 ms after the client's time, in each form, by TLS with no close_notify. A slow reader inside its time is not cut; one beyond it is, unless a further request came behind.

Proven by a stand-in over loopback: without the change anAnswerThatIsNotWholeInItsClientsTimeIsCutSoThatTheClientCanTell fails by 'neither an end nor a break 3 s after the last byte, 100047 bytes' and aWholeAnswerThatIsNotTakenInItsTimeIsCutUnlessAnotherRequestIsBehindIt as well; with it LongBodyTest passes (11 tests).

--- a/edge/src/main/java/thistlefall/node/ClientServer.java
+++ b/edge/src/main/java/thistlefall/node/ClientServer.java
@@ -658,6 +658,15 @@
             }, LINGER_MS, TimeUnit.MILLISECONDS);
         }
 
+        /**
+         * Ends the connection so that the peer can tell at once, whatever it has still to read and in whatever form the
+         * answer was begun: by TLS with no {@code close_notify}, which would be an end.
+         */
+        private void reset() {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            channel.pipeline().firstContext().close();
+        }
+
         private void handleWaiting() {
             while (!waiting.isEmpty() && !closing && current == null) {
                 HttpObject next = waiting.poll();
@@ -821,6 +830,8 @@
         private final class Reply implements OpenRequest.Answers {
             private OpenRequest of;
             private boolean untilClose;
+            /** The last of a long answer, once that is here. */
+            private ChannelFuture last;
 
             @Override
             public void served(ByteBuf whole) {
@@ -867,7 +878,7 @@
                 }
                 leaves = null;
                 if (whole) {
-                    ChannelFuture last = written(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+                    last = written(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
                     last.addListener(done -> node.answerEnded(of, done.isSuccess() ? Ending.PASSED : null));
                     end(last);
                     return;
@@ -876,9 +887,26 @@
                 current = null;
                 if (untilClose) {
                     // Only a reset tells that it is not whole.
-                    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                    reset();
+                } else {
+                    channel.close();
+                }
+            }
+
+            @Override
+            public void cut() {
+                if (leaves != null && current == of) {
+                    Runnable gone = leaves;
+                    leaves = null;
+                    current = null;
+                    node.answerEnded(of, Ending.BAD_GATEWAY);
+                    reset();
+                    gone.run();
+                } else if (last != null && !last.isDone() && current == null && head == null && waiting.isEmpty()) {
+                    // All of it is here, and its client takes it too slowly. With a further request behind it that one would
+                    // be lost.
+                    reset();
                 }
-                channel.close();
             }
         }
     }
--- a/edge/src/main/java/thistlefall/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/node/EdgeNode.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -42,6 +43,11 @@
     private static final long ANSWER_MARGIN = 12 * MS;
     /** So long before the client's deadline a request that the module has left unanswered is failed. */
     private static final long LAST_MOMENT = 6 * MS;
+    /**
+     * So long after the client's deadline an answer that is passed on and is not whole is cut: every time limit on sockets
+     * is that much longer, and half a second after it the request would be lost.
+     */
+    private static final long CUT_AFTER = 50 * MS;
 
     /** How often the servers' figures and what another process wrote are looked at. */
     private static final long LOOK = 200 * MS;
@@ -406,18 +412,22 @@
         if (!enter(taken)) {
             return false;
         }
-        long left = taken.request.deadline() + ANSWER_MARGIN - LAST_MOMENT - now();
-        // The backstop for a module that is late: no request may be left without an answer. A client's time counts
-        // from its last byte.
+        // A client's time counts from its last byte.
         if (taken.upload == null) {
-            backstop(taken, left);
+            backstop(taken, taken.request.deadline() + ANSWER_MARGIN);
         }
         event(taken, now -> gateway.request(now, taken.request));
         return true;
     }
 
-    private void backstop(OpenRequest of, long left) {
-        of.overdue = loop.schedule(() -> overdue(of), Math.max(0, left), TimeUnit.NANOSECONDS);
+    /** For a module that is late: no request may be left without an answer when its client's time is over, at {@code due}. */
+    private void backstop(OpenRequest of, long due) {
+        of.due = due;
+        of.overdue = at(due - LAST_MOMENT, () -> overdue(of));
+    }
+
+    private Future<?> at(long time, Runnable task) {
+        return loop.schedule(task, Math.max(0, time - now()), TimeUnit.NANOSECONDS);
     }
 
     /** A part of a long body is no longer held here. */
@@ -428,7 +438,7 @@
     /** The last byte of a long body came. */
     void uploaded(OpenRequest of, long left) {
         if (!of.answered) {
-            backstop(of, left - LAST_MOMENT);
+            backstop(of, now() + left);
             event(of, now -> gateway.uploaded(now, of.request.id()));
         }
     }
@@ -439,16 +449,18 @@
         if (answers == null) {
             return null;
         }
-        // No deadline binds what follows, and the server has done its work.
-        cancelBackstop(of);
+        // The module's deadline does not bind what follows, and the server has done its work.
         tellEnd(of, Outcome.OK, took, server, 0);
         of.attemptOut = false;
         settle(of);
-        return answers.begun(length, gone);
+        Channel to = answers.begun(length, gone);
+        of.overdue = at(of.due + CUT_AFTER, answers::cut);
+        return to;
     }
 
     /** A long answer has been passed on, or {@code how} else it ended; null if its client left. */
     void answerEnded(OpenRequest of, Ending how) {
+        cancelBackstop(of);
         figures.ended(of.request.requestClass(), how);
     }
 
--- a/edge/src/main/java/thistlefall/node/OpenRequest.java
+++ b/edge/src/main/java/thistlefall/node/OpenRequest.java
@@ -28,6 +28,9 @@
 
         /** The pieces are all written, or no more can come. */
         void ended(boolean whole);
+
+        /** Its client's time is over: a long answer that is not out yet ends so that the client can tell. */
+        void cut();
     }
 
     /** The rest of a long body, which is still coming in; told on the loop only. */
@@ -63,6 +66,8 @@
     /** Whether no attempt follows the one that is out. */
     boolean lastAttempt;
     boolean answered;
+    /** When its client's time is over, on the node's clock; not known before the last byte of its body came. */
+    long due;
     Future<?> overdue;
 
     /** Takes over the body and what is told to be held of it; {@code upload} is null if that is whole. */
--- a/edge/src/test/java/thistlefall/node/LongBodyTest.java
+++ b/edge/src/test/java/thistlefall/node/LongBodyTest.java
@@ -6,6 +6,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -13,7 +19,10 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -177,6 +186,139 @@
         assertTrue(node.figures.text().contains("app.in_progress=0"));
     }
 
+    /** What an answer is begun as, and how its client's request is written. */
+    private record Form(String framing, boolean endless, String version) {
+        String path() {
+            return "/api?" + (framing.startsWith("T") ? "chunked" : framing.startsWith("C") && !framing.contains("close") ? "length" : "close")
+                + (endless ? "-endless" : "-stops");
+        }
+    }
+
+    /** Answers are usual so soon that a request with little time is not turned away. */
+    private String hasty(String... members) throws IOException {
+        return config(members).replace("\"aim-ns\": 10000000000", "\"aim-ns\": 800000000");
+    }
+
+    /**
+     * A server that stops behind what is held, or goes on without end, once left its client with neither an end nor a break:
+     * for 8 s, or for good.
+     */
+    @Test
+    void anAnswerThatIsNotWholeInItsClientsTimeIsCutSoThatTheClientCanTell() throws Exception {
+        byte[] piece = new byte[20_000];
+        Peer server = peer(m -> {
+            OutputStream out = m.socket().getOutputStream();
+            if (m.first().contains("whole")) {
+                // More than the system holds on its way.
+                say(out, "HTTP/1.1 200 OK\r\nContent-Length: " + 11 * BODY.length + "\r\n\r\n");
+                for (int i = 0; i < 11; i++) {
+                    out.write(BODY);
+                }
+                return;
+            }
+            boolean chunks = m.first().contains("chunked");
+            say(out, "HTTP/1.1 200 OK\r\n" + (chunks ? "Transfer-Encoding: chunked" : m.first().contains("length")
+                ? "Content-Length: 2000000000" : "Connection: close") + "\r\n\r\n");
+            // Endless means for longer than anybody waits here.
+            for (int i = 0; i < (m.first().contains("endless") ? 3_000 : 5); i++) {
+                say(out, chunks ? Integer.toHexString(piece.length) + "\r\n" : "");
+                out.write(piece);
+                say(out, chunks ? "\r\n" : "");
+                Thread.sleep(5);
+            }
+            m.socket().getInputStream().read();
+        });
+        EdgeNode node = start(hasty(member("s-0", server.address(), "Ready", 0)));
+        Socket slow = client(node);
+        slow.setReceiveBufferSize(64 << 10);
+        say(slow.getOutputStream(), lookup("t-slow", "HTTP/1.1").replace("/api", "/api?whole"));
+        assertTrue(head(slow.getInputStream()).contains("200"));
+        assertArrayEquals(BODY, slow.getInputStream().readNBytes(BODY.length));
+        List<CompletableFuture<String>> told = new ArrayList<>();
+        List<Form> forms = new ArrayList<>();
+        for (String framing : new String[] {"Content-Length", "Transfer-Encoding", "Connection: close"}) {
+            for (String version : new String[] {"HTTP/1.1", "HTTP/1.0"}) {
+                forms.add(new Form(framing, false, version));
+                forms.add(new Form(framing, true, version));
+            }
+        }
+        for (Form form : forms) {
+            Socket client = client(node);
+            client.setSoTimeout(3_000);
+            String id = "t-" + forms.indexOf(form);
+            told.add(CompletableFuture.supplyAsync(() -> end(client, lookup(id, form.version()).replace("/api", form.path())
+                .replace("20000", "1500").replace("customer=0000000000000007", "customer=" + "%016x".formatted(id.hashCode() & 0xffff))), task -> new Thread(task).start()));
+        }
+        for (Form form : forms) {
+            assertEquals("cut in time", told.get(forms.indexOf(form)).get(), form.toString());
+        }
+        // Inside its own time an answer goes on, however slowly it is taken.
+        for (int i = 1; i < 11; i++) {
+            assertArrayEquals(BODY, slow.getInputStream().readNBytes(BODY.length), "part " + i);
+        }
+        while (!node.figures.text().contains("app.in_progress=0\n") || !node.figures.text().contains("app.connections.archive_servers.open=1\n")) {
+            assertTrue(!Thread.interrupted(), node.figures.text());
+        }
+        assertTrue(node.figures.text().contains("app.handled.lookup.bad_gateway=12\n"), node.figures.text());
+    }
+
+    /** Reads an answer to its end; what a client could tell of that, whose time is 1.5 s, and lost from 2 s on. */
+    private static String end(Socket client, String request) {
+        long began = System.nanoTime();
+        StringBuilder all = new StringBuilder();
+        boolean reset = false;
+        try {
+            say(client.getOutputStream(), request);
+            byte[] some = new byte[65_536];
+            for (int n = client.getInputStream().read(some); n >= 0; n = client.getInputStream().read(some)) {
+                all.append(new String(some, 0, n, StandardCharsets.ISO_8859_1));
+            }
+        } catch (SocketTimeoutException e) {
+            return "neither an end nor a break 3 s after the last byte, " + all.length() + " bytes";
+        } catch (IOException e) {
+            reset = true;
+        }
+        long ms = (System.nanoTime() - began) / 1_000_000;
+        boolean begun = all.indexOf("HTTP/1.1 200") == 0 && all.length() > 64 << 10;
+        boolean seen = reset || all.indexOf("Content-Length") > 0 || all.indexOf("chunked") > 0 && all.lastIndexOf("0\r\n\r\n") != all.length() - 5;
+        return begun && seen && ms >= 1_450 && ms < 2_000 ? "cut in time"
+            : (begun ? "begun" : "not begun") + (seen ? ", seen as cut" : ", taken for whole") + " after " + ms + " ms";
+    }
+
+    /** All of it is here, and its client takes none of it: beyond its time it is cut, unless a further request would be lost. */
+    @Test
+    void aWholeAnswerThatIsNotTakenInItsTimeIsCutUnlessAnotherRequestIsBehindIt() throws Exception {
+        for (boolean behind : new boolean[] {false, true}) {
+            EdgeNode node = start(hasty(member("s-0", "127.0.0.1:1", "Ready", 0)));
+            EmbeddedChannel client = node.loop.submit(() -> {
+                EmbeddedChannel server = new EmbeddedChannel(node.pool.handlers());
+                node.pool.lend("s-0", server);
+                EmbeddedChannel made = new EmbeddedChannel(node.clients.handlers());
+                made.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
+                    @Override
+                    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+                        // The system has no room for it.
+                        ReferenceCountUtil.release(message);
+                    }
+                });
+                made.writeInbound(Unpooled.copiedBuffer(lookup("t-1", "HTTP/1.1").replace("20000", "300"), StandardCharsets.US_ASCII));
+                server.releaseOutbound();
+                server.writeInbound(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n", StandardCharsets.US_ASCII),
+                    Unpooled.wrappedBuffer(BODY, 0, 70_000), Unpooled.wrappedBuffer(BODY, 70_000, 30_000));
+                if (behind) {
+                    made.writeInbound(Unpooled.copiedBuffer(lookup("t-2", "HTTP/1.1"), StandardCharsets.US_ASCII));
+                }
+                return made;
+            }).get();
+            assertTrue(client.isActive());
+            long began = System.nanoTime();
+            while (node.loop.submit(client::isActive).get() && System.nanoTime() - began < 1_000_000_000L) {
+                Thread.onSpinWait();
+            }
+            assertEquals(behind, client.isActive(), "with another behind it: " + behind);
+        }
+    }
+
     /** A client that does not read must not have the whole answer wait in memory. */
     @Test
     void aSlowReaderHoldsItsServerBack() throws Exception {
