No attempt begins for a client that left while its connection was not read

With reading paused (over 6 parts or 4 KiB behind the request; the rest of a body of over 64 kB, from ClientServer.take(OpenRequest) on) neither FIN nor RST is seen, and ServerPool.Attempt.use looked at its time only. Now the rest is read on up to 128 KiB, counted as held; beyond that the client is asked right before an attempt's first byte by two lines 20 ms apart. An HTTP/1.0 client, which can't be asked, is refused, or failed if an attempt may have run (clientUnsure refused it in any case).

LeftClientsTest forces it: closed and reset; waiting for a connection, for the counter, for a first dial, for a further one; nothing, little, much behind, long, cut, chunked bodies, HTTP/1.0.

--- a/edge/src/main/java/thistlefall/node/ClientServer.java
+++ b/edge/src/main/java/thistlefall/node/ClientServer.java
@@ -68,8 +68,21 @@
      * them that finds no answer to its way back tells. Four at the most: some clients take no more lines that mean nothing.
      */
     private static final long[] ASKED_AT_MS = {0, 10, 35, 70};
-    /** What is read behind a request in hand: to see a client leave, it has to be read on. */
-    private static final int MOST_BEHIND = 6, MOST_BYTES_BEHIND = 4 * 1024;
+    /**
+     * Bytes that are read behind a request in hand, or of a long body before its attempt begins: to see a client leave, it
+     * has to be read on. Up to the first they count for nothing, up to the second as held, and only while there is much room.
+     */
+    private static final int LITTLE_BEHIND = 4 * 1024, MOST_BEHIND = 128 * 1024;
+    /** What a head or a piece of a body takes beside its bytes. */
+    private static final int PART = 128;
+    /**
+     * Where a client is not read, it is asked before an attempt begins, unless it was there so short a time ago: with one
+     * line, and one more some time later, which fails where the first was answered by a reset. Both spans together, in
+     * nanoseconds, stay under the tenth of a second in which an attempt may begin for a client that has left.
+     */
+    private static final long SEEN = 50_000_000, ASKED_AGAIN = 20_000_000;
+    /** Lines for one request of which the client is not read. */
+    private static final int MOST_ASKED = 4;
     /** The longest body that is taken. */
     private static final long MOST_LONG = 32L << 20;
     private static final int FIRST_PIECE = 512;
@@ -363,8 +376,12 @@
         private boolean keepAlive, old, headOnly, closing, inputEnded;
         /** Decoded, but behind a request that is not answered yet. */
         private final ArrayDeque<HttpObject> waiting = new ArrayDeque<>();
-        /** Bytes of bodies among it. */
+        /** What it takes, in bytes, and where that is counted. */
         private int behind;
+        private HeldBytes.Body ahead;
+        /** When the client was last known to be there, while it is not read; and how often it was asked for this request. */
+        private long seenAt;
+        private int asked;
         /** The request that is coming in: its head, its body while that is held, the rest of a long one. */
         private HttpRequest head;
         private ByteBuf body;
@@ -409,13 +426,58 @@
             } else {
                 // What is behind it was taken too, and a close would lose it: the peer has to wait.
                 waiting.add(ReferenceCountUtil.retain(part));
-                behind += part instanceof HttpContent content ? content.content().readableBytes() : 0;
-                if (waiting.size() >= MOST_BEHIND || behind >= MOST_BYTES_BEHIND) {
-                    channel.config().setAutoRead(false);
+                behind += cost(part);
+                if (crowded()) {
+                    pause();
                 }
             }
         }
 
+        private static int bytes(HttpObject part) {
+            return part instanceof HttpContent content ? content.content().readableBytes() : 0;
+        }
+
+        private static int cost(HttpObject part) {
+            int cost = PART + bytes(part);
+            if (part instanceof HttpRequest request) {
+                cost += request.uri().length();
+                for (Map.Entry<String, String> header : request.headers()) {
+                    cost += PART + header.getKey().length() + header.getValue().length();
+                }
+            }
+            return cost;
+        }
+
+        /** What waited longest, which waits no longer; null if nothing does. */
+        private HttpObject next() {
+            HttpObject next = waiting.poll();
+            behind -= next == null ? 0 : cost(next);
+            return next;
+        }
+
+        /** Whether so much waits that no more is read; has it counted. */
+        private boolean crowded() {
+            if (behind > LITTLE_BEHIND && ahead == null) {
+                ahead = node.held.open(current == null ? HeldBytes.STRANGER : current.request.customer());
+            } else if (behind <= LITTLE_BEHIND && ahead != null) {
+                ahead.release();
+                ahead = null;
+            }
+            if (ahead == null) {
+                return false;
+            }
+            ahead.keep(behind);
+            return behind > MOST_BEHIND || !node.held.spare();
+        }
+
+        /** Reads no more, and so sees neither a close nor a reset. */
+        private void pause() {
+            if (channel.config().isAutoRead()) {
+                seenAt = System.nanoTime();
+                channel.config().setAutoRead(false);
+            }
+        }
+
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
             if (rest != null && rest.relay != null) {
@@ -440,7 +502,8 @@
          */
         private void noMoreComes() {
             boolean whole = current != null && (rest == null || rest.complete) || !waiting.isEmpty();
-            if (!whole) {
+            boolean cut = rest != null && !rest.complete && waiting.stream().noneMatch(LastHttpContent.class::isInstance);
+            if (!whole || cut) {
                 channel.close();
                 return;
             }
@@ -561,7 +624,6 @@
             if (rest != null) {
                 rest.of = taken;
                 rest.span = taken.request.deadline() - node.now();
-                channel.config().setAutoRead(false);
             }
             if (!node.take(taken)) {
                 current = null;
@@ -623,6 +685,7 @@
             current = null;
             rest = null;
             leaves = null;
+            asked = 0;
             drop();
             if (closing) {
                 entry.ending();
@@ -669,20 +732,19 @@
 
         private void handleWaiting() {
             while (!waiting.isEmpty() && !closing && current == null) {
-                HttpObject next = waiting.poll();
+                HttpObject next = next();
                 try {
                     handle(next);
                 } finally {
                     ReferenceCountUtil.release(next);
                 }
             }
-            if (current == null && waiting.isEmpty()) {
-                behind = 0;
+            if (!crowded() && (rest == null || rest.relay == null)) {
                 channel.config().setAutoRead(true);
-                if (inputEnded && !closing) {
-                    // What came last is no whole request.
-                    channel.close();
-                }
+            }
+            if (current == null && waiting.isEmpty() && inputEnded && !closing) {
+                // What came last is no whole request.
+                channel.close();
             }
         }
 
@@ -706,8 +768,9 @@
                 listener.roomAgain();
             }
             while (!waiting.isEmpty()) {
-                ReferenceCountUtil.release(waiting.poll());
+                ReferenceCountUtil.release(next());
             }
+            crowded();
             drop();
             OpenRequest left = current;
             Rest cut = rest;
@@ -769,22 +832,24 @@
                     gone.run();
                     return;
                 }
+                pause();
                 relay = node.relays.start(channel, to);
                 while (!waiting.isEmpty() && !complete) {
-                    HttpObject next = waiting.poll();
+                    HttpObject next = next();
                     try {
                         pass(next);
                     } finally {
                         ReferenceCountUtil.release(next);
                     }
                 }
+                crowded();
                 if (relay != null) {
                     relay.readComplete();
                 }
             }
 
             private void pass(HttpObject part) {
-                received += part instanceof HttpContent content ? content.content().readableBytes() : 0;
+                received += bytes(part);
                 if (part.decoderResult().isFailure() || received > MOST_LONG) {
                     channel.close();
                     return;
@@ -893,6 +958,36 @@
                 }
             }
 
+            @Override
+            public boolean seen() {
+                return channel.config().isAutoRead() || System.nanoTime() - seenAt <= SEEN;
+            }
+
+            @Override
+            public void ask(Runnable then) {
+                OpenRequest about = current;
+                if (old || asked >= MOST_ASKED) {
+                    loop.execute(() -> {
+                        node.clientUnsure(about);
+                        then.run();
+                    });
+                } else {
+                    asked += 2;
+                    seenAt = System.nanoTime();
+                    goOn();
+                    loop.schedule(() -> {
+                        if (current == about && channel.isActive()) {
+                            goOn();
+                        }
+                        if (!channel.isActive()) {
+                            // Its end is told here only some tasks later.
+                            node.clientGone(about);
+                        }
+                        then.run();
+                    }, ASKED_AGAIN, TimeUnit.NANOSECONDS);
+                }
+            }
+
             @Override
             public void cut() {
                 if (leaves != null && current == of) {
--- a/edge/src/main/java/thistlefall/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/node/EdgeNode.java
@@ -496,7 +496,16 @@
         event(unsure, now -> gateway.clientGone(now, unsure.request.id()));
         unsure.withdraw();
         if (!unsure.attemptOut) {
-            refuse(unsure.request.id(), 0);
+            endLast(unsure);
+        }
+    }
+
+    /** No attempt follows: refused if none may have run. */
+    private void endLast(OpenRequest of) {
+        if (of.mayHaveRunSince == Long.MIN_VALUE) {
+            refuse(of.request.id(), 0);
+        } else {
+            fail(of);
         }
     }
 
@@ -510,10 +519,8 @@
             }
         }
         tellEnd(of, outcome, took, server, units);
-        if (of.lastAttempt && of.mayHaveRunSince == Long.MIN_VALUE) {
-            refuse(of.request.id(), 0);
-        } else if (of.lastAttempt) {
-            fail(of);
+        if (of.lastAttempt) {
+            endLast(of);
         }
         settle(of);
     }
--- a/edge/src/main/java/thistlefall/node/OpenRequest.java
+++ b/edge/src/main/java/thistlefall/node/OpenRequest.java
@@ -29,6 +29,15 @@
         /** The pieces are all written, or no more can come. */
         void ended(boolean whole);
 
+        /** Whether its client would have been seen to leave, if it left a tenth of a second ago or longer. */
+        boolean seen();
+
+        /**
+         * Finds out whether its client is still there; {@code then} is run when that had its time. One that has left is
+         * told to the node before that.
+         */
+        void ask(Runnable then);
+
         /** Its client's time is over: a long answer that is not out yet ends so that the client can tell. */
         void cut();
     }
@@ -96,6 +105,16 @@
         holding.release();
     }
 
+    /** Whether its client would have been seen to leave by now. */
+    boolean clientSeen() {
+        return answers.seen();
+    }
+
+    /** Finds out whether its client is still there, and goes on then. */
+    void askClient(Runnable then) {
+        answers.ask(then);
+    }
+
     /** Where the rest of a long answer goes, once that has begun. */
     Answers passedAnswer() {
         return answers;
--- a/edge/src/main/java/thistlefall/node/ServerPool.java
+++ b/edge/src/main/java/thistlefall/node/ServerPool.java
@@ -62,6 +62,8 @@
     private static final long MS = 1_000_000L, SWEEP = 1_000 * MS;
     /** What a request may need from its first byte here to its last byte there. */
     private static final long ON_THE_WAY = 20 * MS;
+    /** So often the client of one attempt is asked whether it is still there: a loop that stands still all the time goes on. */
+    private static final int MOST_ASKED = 2;
 
     private final EdgeNode node;
     private final EventLoop loop;
@@ -269,6 +271,9 @@
         /** Whether a long answer is passed on: for the module the attempt was over when that began. */
         private boolean passed;
         private boolean written, over;
+        /** What it may go by, while its client is asked whether it is still there; and how often that was. */
+        private Servers.Link kept;
+        private int asked;
         /** From then on it may not begin: its repeat could run once more, or nobody waits for it. */
         private final long lastBegin;
         private Connection on;
@@ -286,13 +291,25 @@
 
         @Override
         public void use(Servers.Link link) {
-            if (System.nanoTime() - lastBegin >= 0) {
-                // The loop stood still, or the timer for it comes next.
+            if (link.target().retired() || System.nanoTime() - lastBegin >= 0) {
+                // Its server leaves; the loop stood still, or the timer for it comes next.
                 end(Outcome.NOT_SENT, 0, null);
                 link.free(System.nanoTime());
-                return;
+            } else if (asked < MOST_ASKED && !of.clientSeen()) {
+                asked++;
+                kept = link;
+                of.askClient(this::goOn);
+            } else {
+                ((Connection) link.carrier()).write(this);
+            }
+        }
+
+        private void goOn() {
+            Servers.Link link = kept;
+            kept = null;
+            if (link != null) {
+                use(link);
             }
-            ((Connection) link.carrier()).write(this);
         }
 
         /** Nobody waits for it any more. */
@@ -342,6 +359,9 @@
             }
             if (on != null) {
                 on.attempt = null;
+            } else if (kept != null) {
+                kept.free(System.nanoTime());
+                kept = null;
             } else if (target != null) {
                 target.cancel(this);
             }
--- a/edge/src/main/java/thistlefall/node/connections/HeldBytes.java
+++ b/edge/src/main/java/thistlefall/node/connections/HeldBytes.java
@@ -27,6 +27,11 @@
         most = budget.heldBytes();
     }
 
+    /** Whether less than half of all is held: what need not be read may be. */
+    public boolean spare() {
+        return 2 * total < most;
+    }
+
     /** A body of this customer, nothing of which is held yet. */
     public Body open(long customer) {
         return new Body(customer);
--- a/edge/src/main/java/thistlefall/node/connections/Servers.java
+++ b/edge/src/main/java/thistlefall/node/connections/Servers.java
@@ -143,6 +143,11 @@
             return address;
         }
 
+        /** Whether it leaves, is gone, has moved or has begun anew. */
+        public boolean retired() {
+            return retired;
+        }
+
         /** Connections that are open or being made. */
         public int open() {
             return idle.size() + busy.size() + dialing;
