After a standstill of the loop attempts wait until its clients have been heard

In the turn after that a connection that became free, or a dial that came up, and the client's FIN are found together, in the selector's order; and even with the FIN first the reset that answers the line is not there yet, so Attempt.use began for a client that had left long before.

--- a/edge/src/main/java/thistlefall/node/ClientServer.java
+++ b/edge/src/main/java/thistlefall/node/ClientServer.java
@@ -960,13 +960,19 @@
 
             @Override
             public boolean seen() {
-                return channel.config().isAutoRead() || System.nanoTime() - seenAt <= SEEN;
+                long now = System.nanoTime();
+                // What is no socket has nothing unread.
+                return !(channel instanceof SocketChannel)
+                    || (channel.config().isAutoRead() ? node.standstills.none(now) : now - seenAt <= SEEN);
             }
 
             @Override
             public void ask(Runnable then) {
                 OpenRequest about = current;
-                if (old || asked >= MOST_ASKED) {
+                if (channel.config().isAutoRead()) {
+                    // What it has to say is read meanwhile.
+                    loop.schedule(then, Standstills.SETTLE, TimeUnit.NANOSECONDS);
+                } else if (old || asked >= MOST_ASKED) {
                     loop.execute(() -> {
                         node.clientUnsure(about);
                         then.run();
--- a/edge/src/main/java/thistlefall/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/node/EdgeNode.java
@@ -71,6 +71,7 @@
     final ClientServer clients;
     final Slots slots;
     final Relay.All relays;
+    final Standstills standstills = new Standstills(System.nanoTime());
     private final LeftOut leftOut, zonesOut;
     private final HandoverFile handover;
     private Config config;
@@ -614,7 +615,9 @@
     public void timer(long token, long span) {
         long due = System.nanoTime() + span;
         loop.schedule(() -> {
-            figures.late(System.nanoTime() - due);
+            long came = System.nanoTime();
+            standstills.tick(came);
+            figures.late(came - due);
             event(null, now -> gateway.timer(now, token));
         }, span, TimeUnit.NANOSECONDS);
     }
--- a/edge/src/test/java/thistlefall/node/LeftClientsTest.java
+++ b/edge/src/test/java/thistlefall/node/LeftClientsTest.java
@@ -239,6 +239,55 @@
         }
     }
 
+    /** The loop stands still while the client closes and the connection it waits for becomes free: both are read in one turn. */
+    @Test
+    void noAttemptBeginsRightBehindAStandstillInWhichItsClientLeft() throws Exception {
+        for (boolean reset : new boolean[] {false, true}) {
+            List<CompletableFuture<Void>> goes = new ArrayList<>();
+            Peer server = peer(m -> {
+                CompletableFuture<Void> go = new CompletableFuture<>();
+                synchronized (goes) {
+                    goes.add(go);
+                }
+                go.join();
+                m.answer(Peer.ok("", "held"));
+            });
+            EdgeNode node = narrow(server);
+            for (int round = 0; round < 10; round++) {
+                Socket first = client(node);
+                order(first, "t-" + round);
+                assertEquals("t-" + round, server.next().headers().get("x-trace-id"));
+                Socket second = client(node);
+                order(second, "t-left-" + round);
+                awaitLog(node, "app.in_progress=2");
+                CompletableFuture<Void> begun = new CompletableFuture<>();
+                CompletableFuture<Void> still = new CompletableFuture<>();
+                node.loop.execute(() -> {
+                    begun.complete(null);
+                    still.join();
+                });
+                begun.join();
+                long left = leave(second, reset);
+                CompletableFuture<Void> go;
+                do {
+                    synchronized (goes) {
+                        go = goes.size() > round ? goes.get(round) : null;
+                    }
+                } while (go == null);
+                go.complete(null);
+                awaitBreak(left);
+                still.complete(null);
+                assertEquals("held", Peer.read(first).body());
+                awaitLog(node, "app.in_progress=0");
+                if (!server.seen.isEmpty()) {
+                    note(server.next(), "none", Reading.ON, reset);
+                    // Its attempt is out and holds the one connection.
+                    return;
+                }
+            }
+        }
+    }
+
     /** Who is there is served, however it is read, and is asked no more often than a client takes. */
     @Test
     void whoIsStillThereIsServedThoughItIsNotRead() throws Exception {
