--- a/edge/src/main/java/thistlefall/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/node/EdgeNode.java
@@ -41,13 +41,8 @@
     private static final long MS = 1_000_000L;
     /** By so much the module sees each deadline early: its last answer is written before the client leaves. */
     private static final long ANSWER_MARGIN = 12 * MS;
-    /** So long before the client's deadline a request that the module has left unanswered is failed. */
+    /** So long before the client's deadline a request that is left unanswered is failed, and a long answer that is not out is cut. */
     private static final long LAST_MOMENT = 6 * MS;
-    /**
-     * So long after the client's deadline an answer that is passed on and is not whole is cut: every time limit on sockets
-     * is that much longer, and half a second after it the request would be lost.
-     */
-    private static final long CUT_AFTER = 50 * MS;
 
     /** How often the servers' figures and what another process wrote are looked at. */
     private static final long LOOK = 200 * MS;
@@ -455,7 +450,7 @@
         of.attemptOut = false;
         settle(of);
         Channel to = answers.begun(length, gone);
-        of.overdue = at(of.due + CUT_AFTER, answers::cut);
+        of.overdue = at(of.due - LAST_MOMENT, answers::cut);
         return to;
     }
 
--- a/edge/src/main/java/thistlefall/node/OpenRequest.java
+++ b/edge/src/main/java/thistlefall/node/OpenRequest.java
@@ -38,7 +38,7 @@
          */
         void ask(Runnable then);
 
-        /** Its client's time is over: a long answer that is not out yet ends so that the client can tell. */
+        /** Its client's time is all but over: a long answer that is not out yet ends so that the client can tell. */
         void cut();
     }
 
