A test that an answer cut by TLS ends without close_notify

By channel.close() in place of the close below TLS it fails: 'TLSv1.2 ==> Expected java.io.IOException to be thrown, but nothing was thrown'. TlsTest passes (8 tests).

--- a/edge/src/test/java/thistlefall/node/TlsTest.java
+++ b/edge/src/test/java/thistlefall/node/TlsTest.java
@@ -117,6 +117,22 @@
         assertArrayEquals(body, Peer.read(socket).body().getBytes(StandardCharsets.US_ASCII));
     }
 
+    /** A body of no length once ended with the notice, which is the end of a whole one. */
+    @Test
+    void anAnswerOfNoLengthThatIsCutEndsWithNoNotice() throws Exception {
+        Peer server = peer(m -> m.answer("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + "x".repeat(200_000)));
+        EdgeNode node = start(config(member("s-0", server.address(), "Ready", 0)).replace("\"aim-ns\": 10000000000", "\"aim-ns\": 800000000")
+            .replace("\"counter\"", "\"tls\":" + certificate.settings(8) + ",\"counter\""));
+        for (String version : List.of("TLSv1.2", "TLSv1.3")) {
+            SSLSocket socket = connect(node, version);
+            StringBuilder text = new StringBuilder("GET /api HTTP/1.0\r\n");
+            headers(version, "lookup", "1500").forEach((name, value) -> text.append(name).append(": ").append(value).append("\r\n"));
+            socket.getOutputStream().write((text + "\r\n").getBytes(StandardCharsets.US_ASCII));
+            assertEquals('H', socket.getInputStream().read());
+            assertThrows(IOException.class, () -> socket.getInputStream().readAllBytes(), version);
+        }
+    }
+
     /** What is no TLS, a record that is broken, a handshake that stalls: each costs that one connection. */
     @Test
     void whoCanNotShakeHandsCostsOneConnection() throws Exception {
