--- a/edge/src/main/java/thistlefall/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/node/EdgeNode.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -41,7 +42,7 @@
     private static final long MS = 1_000_000L;
     /** By so much the module sees each deadline early: its last answer is written before the client leaves. */
     private static final long ANSWER_MARGIN = 12 * MS;
-    /** So long before the client's deadline a request that the module has left unanswered is failed. */
+    /** So long before the client's deadline a request that is left unanswered is failed, and a long answer that is not out is cut. */
     private static final long LAST_MOMENT = 6 * MS;
 
     /** How often the servers' figures and what another process wrote are looked at. */
@@ -67,6 +68,7 @@
     final ClientServer clients;
     final Slots slots;
     final Relay.All relays;
+    final Standstills standstills = new Standstills(System.nanoTime());
     private final LeftOut leftOut, zonesOut;
     private final HandoverFile handover;
     private Config config;
@@ -440,18 +442,22 @@
         if (!enter(taken)) {
             return false;
         }
-        long left = taken.request.deadline() + ANSWER_MARGIN - LAST_MOMENT - now();
-        // The backstop for a module that is late: no request may be left without an answer. A client's time counts
-        // from its last byte.
+        // A client's time counts from its last byte.
         if (taken.upload == null) {
-            backstop(taken, left);
+            backstop(taken, taken.request.deadline() + ANSWER_MARGIN);
         }
         event(taken, now -> gateway.request(now, taken.request));
         return true;
     }
 
-    private void backstop(OpenRequest of, long left) {
-        of.overdue = loop.schedule(() -> overdue(of), Math.max(0, left), TimeUnit.NANOSECONDS);
+    /** For a module that is late: no request may be left without an answer when its client's time is over, at {@code due}. */
+    private void backstop(OpenRequest of, long due) {
+        of.due = due;
+        of.overdue = at(due - LAST_MOMENT, () -> overdue(of));
+    }
+
+    private Future<?> at(long time, Runnable task) {
+        return loop.schedule(task, Math.max(0, time - now()), TimeUnit.NANOSECONDS);
     }
 
     /** A part of a long body is no longer held here. */
@@ -462,7 +468,7 @@
     /** The last byte of a long body came. */
     void uploaded(OpenRequest of, long left) {
         if (!of.answered) {
-            backstop(of, left - LAST_MOMENT);
+            backstop(of, now() + left);
             event(of, now -> gateway.uploaded(now, of.request.id()));
         }
     }
@@ -473,16 +479,18 @@
         if (answers == null) {
             return null;
         }
-        // No deadline binds what follows, and the server has done its work.
-        cancelBackstop(of);
+        // The module's deadline does not bind what follows, and the server has done its work.
         tellEnd(of, Outcome.OK, took, server, 0);
         of.attemptOut = false;
         settle(of);
-        return answers.begun(length, gone);
+        Channel to = answers.begun(length, gone);
+        of.overdue = at(of.due - LAST_MOMENT, answers::cut);
+        return to;
     }
 
     /** A long answer has been passed on, or {@code how} else it ended; null if its client left. */
     void answerEnded(OpenRequest of, Ending how) {
+        cancelBackstop(of);
         figures.ended(of.request.requestClass(), how);
     }
 
@@ -518,7 +526,16 @@
         event(unsure, now -> gateway.clientGone(now, unsure.request.id()));
         unsure.withdraw();
         if (!unsure.attemptOut) {
-            refuse(unsure.request.id(), 0);
+            endLast(unsure);
+        }
+    }
+
+    /** No attempt follows: refused if none may have run. */
+    private void endLast(OpenRequest of) {
+        if (of.mayHaveRunSince == Long.MIN_VALUE) {
+            refuse(of.request.id(), 0);
+        } else {
+            fail(of);
         }
     }
 
@@ -532,10 +549,8 @@
             }
         }
         tellEnd(of, outcome, took, server, units);
-        if (of.lastAttempt && of.mayHaveRunSince == Long.MIN_VALUE) {
-            refuse(of.request.id(), 0);
-        } else if (of.lastAttempt) {
-            fail(of);
+        if (of.lastAttempt) {
+            endLast(of);
         }
         settle(of);
     }
@@ -629,7 +644,9 @@
     public void timer(long token, long span) {
         long due = System.nanoTime() + span;
         loop.schedule(() -> {
-            figures.late(System.nanoTime() - due);
+            long came = System.nanoTime();
+            standstills.tick(came);
+            figures.late(came - due);
             event(null, now -> gateway.timer(now, token));
         }, span, TimeUnit.NANOSECONDS);
     }
