Budgets of calls to the counter follow its line; calls go to who is near the quota

Cause, seen in a trial that printed budgets each 100 ms: Gateway.pace and mayCall. A call whose stake was too small counted as held up, so budgets doubled each second to ten times their use and saved up a second's calls; then all were spent at once, the line outlasted the time-out for 0.7 s, all fell to a call a second, and so on. Ruled out: too small a counter (a free one is asked 61 times a second, but 6 to 13 do), growth alone (1.25 a second in place of 2: 4.5% late), the bucket alone (23% late).

Change: the budget is fitted with each answer by the wait in line, grows only if it is used, saves up a quarter of a second, and is spent by chance; the most urgent customers are told first; requests that fit into their part hardly wait.

MechanismTest#scarceCallsGoWhereMoreIsAtStake: its calls were scarce only because each answer took 20 ms, which is now taken as the way's length, and its requests were given up in the queue of a gateway with 0.4 places, which took their units back before they were told. Now the counter bears five calls a second and no request queues; the same assertion, and one that calls are made.

--- a/edge/src/main/java/thistlefall/Gateway.java
+++ b/edge/src/main/java/thistlefall/Gateway.java
@@ -17,10 +17,12 @@
     private static final long TICK = 10 * MS;
     /** How often fresh use is pushed, and for how long no call is answered by a counter that is silent. */
     private static final long PUSH = SECOND / 4, SILENT_AFTER = SECOND / 2;
-    /** Calls to the counter a second at first; their growth in a second, and the step down at a long wait. */
     /** Customers come unevenly: a gateway's part of a quota while the counter answers, in even parts. */
-    private static final double UNEVEN = 2;
-    private static final double CALLS_START = 2, CALLS_UP = 2, CALLS_DOWN = 0.7;
+    private static final double UNEVEN = 1.5;
+    /** Calls to the counter a second, at first and at the least; most steps up and down with an answer. */
+    private static final double CALLS_START = 2, CALLS_LEAST = 1, CALLS_UP = 0.2, CALLS_DOWN = 0.3;
+    /** The wait at which the budget of calls stays as it is, in time-outs; the seconds it may save up. */
+    private static final double LINE = 0.22, SAVED_S = 0.25;
     /** The operator's limit on concurrency: requests in flight for each listed server, over all gateways. */
     private static final double OPEN_PER_SERVER = 6;
     /** The estimator's memory of some 50 intervals, and the bound on its trace in a quiet spell. */
@@ -50,9 +52,9 @@
     private final Actions out;
     private final SplittableRandom random;
     private final long born;
-    private long now, nextControl, tokensAt, sentWorkAt, restUntil, pacedAt;
-    /** The least wait for the counter, and the least since the budget of calls was fitted to it. */
-    private long leastWait, quickest = Long.MAX_VALUE, unansweredSince = Long.MAX_VALUE;
+    private long now, nextControl, tokensAt, sentWorkAt, restUntil;
+    /** The least wait for the counter, which creeps up; since when none of its calls has been answered. */
+    private long leastWait, unansweredSince = Long.MAX_VALUE;
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<Long, Customer> customers = new LinkedHashMap<>();
     private final Map<String, Backend> servers = new LinkedHashMap<>();
@@ -67,7 +69,7 @@
     private final Backend[] lastHeard = new Backend[RECENT];
     private final Lane[] lanes;
     private final Control control;
-    private int inFlight, heardCount, heardCalls, lostCalls;
+    private int inFlight, heardCount;
     private double retryTokens = RETRY_MOST, virtualTime, sentWork, sentToOne, usualStake, usualLoad;
     private boolean silent, denied, succeeded;
     private double callRate = CALLS_START, callTokens;
@@ -86,7 +88,6 @@
         for (int i = 0; i < lanes.length; i++) { lanes[i] = new Lane(cfg.classes().get(i)); }
         control = new Control();
         tokensAt = now;
-        pacedAt = now;
         leastWait = cfg.counter().timeout();
         callTokens = random.nextDouble(CALLS_START);
         nextControl = now + SECOND;
@@ -402,10 +403,7 @@
         long wait = answered ? now - call.at : cfg.counter().timeout();
         // The way there and back is no queue, and creeps up to a longer one.
         leastWait = Math.min(wait, leastWait + (wait - leastWait) / 100);
-        quickest = Math.min(quickest, wait);
-        heardCalls++;
-        lostCalls += answered ? 0 : 1;
-        if (now - pacedAt >= PUSH) { pace(); }
+        pace(answered ? (wait - leastWait) / (double) cfg.counter().timeout() : 1);
         unansweredSince = answered ? Long.MAX_VALUE : unansweredSince;
         noticeSilence();
         call.customer.counted(call, outcome, total);
@@ -413,21 +411,14 @@
     }
 
     /**
-     * Fits the budget to the counter. A line that stands there holds up all calls of a while: one that took
-     * long alone was late here. A full line turns calls away or outlasts the time-out: back off well before.
+     * Fits the budget to the counter with each answer, by the wait in line there, a full line being a
+     * time-out: in steps that all gateways take at once it swung between idle and crowded. What is not used
+     * must not grow.
      */
-    private void pace() {
-        boolean stands = quickest > leastWait + (cfg.counter().timeout() - leastWait) / 3;
-        if (stands || lostCalls > heardCalls / 4) {
-            callRate = Math.max(1, callRate * CALLS_DOWN);
-        } else if (denied) {
-            // By time, not by answer: a rate cut to one call a second would take minutes to come back.
-            callRate *= Math.pow(CALLS_UP, Math.min(1, (now - pacedAt) * NANO));
-        }
+    private void pace(double line) {
+        double step = Math.max(-CALLS_DOWN, CALLS_UP * (1 - line / LINE));
+        if (step < 0 || denied) { callRate = Math.max(CALLS_LEAST, callRate * (1 + step)); }
         denied = false;
-        quickest = Long.MAX_VALUE;
-        heardCalls = lostCalls = 0;
-        pacedAt = now;
     }
 
     /** Counts from the first call of a silence: where calls are rare the last answer may be long ago. */
@@ -440,13 +431,15 @@
 
     /** Takes a call from the budget: the emptier that is, the more must be at stake, in usual stakes. */
     private boolean mayCall(double stake) {
-        double rate = silent ? 1 : callRate;
-        double most = Math.max(2 * CALLS_START, rate);
+        double rate = silent ? CALLS_LEAST : callRate;
+        double most = Math.max(2 * CALLS_START, rate * SAVED_S);
         callTokens = Math.min(most, callTokens + rate * (now - tokensAt) * NANO);
         tokensAt = now;
         boolean may = callTokens >= 1 && stake >= 2 * (1 - callTokens / most);
-        callTokens -= may ? 1 : 0;
-        denied |= !may;
+        // One in the mean, by chance: else gateways that were cut together would all call together.
+        callTokens -= may ? 0.5 + random.nextDouble() : 0;
+        // With more than that saved up it was the stake that was too small, and no lack of calls.
+        denied |= !may && callTokens < 1.5;
         return may;
     }
 
@@ -483,7 +476,8 @@
         for (ArrayDeque<Call> line : calls.values()) {
             line.stream().filter(call -> call.at < due).forEach(call -> call.customer.conclude(call, false));
         }
-        List.copyOf(active).forEach(Customer::push);
+        active.stream().sorted(Comparator.comparingDouble(Customer::urgency).reversed()).toList()
+            .forEach(Customer::push);
         if (now >= nextControl) {
             nextControl += SECOND;
             control.boundLevel();
@@ -598,8 +592,8 @@
                 * gateways / cfg.siblings() * (job.request.repeat() ? 0.3 : 1);
             usualStake += 0.02 * (stake - usualStake);
             stake /= Math.max(1e-9, usualStake);
-            // What fits into this gateway's part is seldom beyond: others may need the call more.
-            stake *= part >= units ? 0.3 : 1;
+            // What fits into this gateway's part is seldom beyond, and should not wait for a call.
+            stake *= part >= units ? 0.1 : 1;
             if (old && now + 2 * cfg.counter().timeout() < job.aimAt() && mayCall(stake)) {
                 job.asking = true;
                 call(job);
@@ -636,13 +630,18 @@
             }
         }
 
+        /** What the others don't know of, against what is left of the quota: who is near it is told first. */
+        double urgency() {
+            return Math.abs(unpushed) * gateways / 2 / Math.max(store, plan.burst() / 8);
+        }
+
         /** One call for a customer with fresh use, more often when its store runs low. */
         void push() {
             boolean fresh = Math.abs(unpushed) > 1e-6 && now - usedAt < span && shared;
             if (!fresh) {
                 unpushed = 0;
                 active.remove(this);
-            } else if (now >= pushAt && mayCall(0.25)) {
+            } else if (now >= pushAt && mayCall(urgency())) {
                 call(null);
             }
         }
--- a/edge/src/main/java/thistlefall/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/node/EdgeNode.java
@@ -572,6 +572,7 @@
     }
 
     private void counted(long name, Outcome outcome, double total) {
+        figures.counted(outcome == Outcome.OK);
         boolean ballot = verdicts != null && ZoneVerdicts.owns(name);
         event(null, now -> {
             if (ballot) {
--- a/edge/src/main/java/thistlefall/node/Figures.java
+++ b/edge/src/main/java/thistlefall/node/Figures.java
@@ -17,7 +17,7 @@
     private static final String[] ZONES = {"zones.away", "zones.calls", "zones.trials"};
     private final List<String> classes;
     private final AtomicLongArray ended;
-    private final AtomicLong tries = new AtomicLong();
+    private final AtomicLong tries = new AtomicLong(), counterCalls = new AtomicLong(), counterUnanswered = new AtomicLong();
     private final AtomicInteger inProgress = new AtomicInteger(), known = new AtomicInteger(),
         skipped = new AtomicInteger();
 
@@ -51,6 +51,14 @@
         tries.incrementAndGet();
     }
 
+    /** A call to the counter has ended; {@code answered} unless it was turned away, late or lost. */
+    void counted(boolean answered) {
+        counterCalls.incrementAndGet();
+        if (!answered) {
+            counterUnanswered.incrementAndGet();
+        }
+    }
+
     /** How many servers the list holds, and how many of these are avoided. */
     void servers(int listed, int avoided) {
         known.set(listed);
@@ -101,6 +109,8 @@
         line(text, "in_progress", inProgress.get());
         line(text, "known_archive_servers", known.get());
         line(text, "skipped_archive_servers", skipped.get());
+        line(text, "counter.calls", counterCalls.get());
+        line(text, "counter.unanswered", counterUnanswered.get());
         line(text, "discovery.silent_ms", discoverySilence());
         line(text, "discovery.longest_wait_ms", TimeUnit.NANOSECONDS.toMillis(wordWait));
         line(text, "loop.longest_standstill_ms", TimeUnit.NANOSECONDS.toMillis(standstill));
--- a/edge/src/test/java/thistlefall/MechanismTest.java
+++ b/edge/src/test/java/thistlefall/MechanismTest.java
@@ -349,24 +349,25 @@
 
     @Test
     void scarceCallsGoWhereMoreIsAtStake() {
-        Host host = new Host(new Plan(10, 30, 0, 1, 0, 1, 0, 0, 0), 300, 0).servers(20);
+        // So few gateways that no request waits in the queue, whose end would take its units back untold.
+        Host host = new Host(new Plan(10, 30, 0, 1, 0, 1, 0, 0, 0), 30, 0).servers(20);
         int[] calls = new int[5];
-        boolean first = true;
+        int left = 0;
         for (int tick = 0; tick < 2000; tick++) {
             // Each customer once, of 1 or 4 units in turn; far more of them than calls.
             int units = tick % 2 == 0 ? 1 : 4;
-            host.pass(first ? 20 * MS : 0);
             String id = host.request(SAFE, 0, tick, units, host.now + 3000 * MS);
-            // The first call takes no time, every other one does: the budget stays small.
-            host.pass(first ? 0 : 20 * MS);
-            first &= host.counted.isEmpty();
+            host.pass(20 * MS);
+            // The counter bears five calls a second and turns all others away.
+            left = tick % 50 == 0 ? 5 : left;
             for (Host.Counted call : List.copyOf(host.counted)) {
                 calls[(int) Math.max(0, call.amount())]++;
-                host.gateway.counted(host.now, call.name(), Outcome.OK, call.amount());
+                host.gateway.counted(host.now, call.name(), left-- > 0 ? Outcome.OK : Outcome.FULL, call.amount());
             }
             host.counted.clear();
             host.attempts(id).forEach(s -> host.end(s.id(), Outcome.OK));
         }
+        assertTrue(calls[1] + calls[4] >= 100, "calls by units: " + Arrays.toString(calls));
         assertTrue(calls[4] > 2 * calls[1], "calls by units: " + Arrays.toString(calls));
     }
 
