--- a/lab/src/test/java/thistlefall/lab/stand/http/PortsTest.java
+++ b/lab/src/test/java/thistlefall/lab/stand/http/PortsTest.java
@@ -48,7 +48,11 @@
         private final BufferedReader in;
 
         Client(Port to) throws IOException {
-            socket = new Socket(to.address().getAddress(), to.address().getPort());
+            this(to.address());
+        }
+
+        Client(InetSocketAddress to) throws IOException {
+            socket = new Socket(to.getAddress(), to.getPort());
             open.add(socket);
             in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
         }
@@ -172,4 +176,70 @@
             client.chunk());
         assertEquals("\n", client.chunk(), "no empty line after 2 s");
     }
+
+    @Test
+    void discoveryThatBeginsAnewResetsItsWatchesAndTellsTheWholeList() throws Exception {
+        Member one = new Member("s-1", "127.0.0.1:81", "a", "m2", 3, Member.Phase.READY, 1.5, 0);
+        DiscoveryPort discovery = new DiscoveryPort(group.next(), ANY, new Roll(7, true, List.of(one)), (at, roll) -> { });
+        open.add(discovery);
+        Client before = new Client(discovery).send("GET /catalog/members?watch=1&after=7");
+        before.answer();
+        assertEquals("\n", before.chunk());
+        discovery.restart(new Roll(9, true, List.of(one)));
+        assertThrows(IOException.class, () -> before.in.read(), "its watches were not reset");
+        for (int after : new int[] {7, 8}) {
+            Client again = new Client(discovery).send("GET /catalog/members?watch=1&after=" + after);
+            again.answer();
+            assertTrue(again.chunk().startsWith("{\"revision\":9,\"complete\":true,"));
+        }
+    }
+
+    /** Behind one socket each address is a server of its own, with slots of its own. */
+    @Test
+    void eachAddressIsAnArchiveServer() throws Exception {
+        List<String> history = new CopyOnWriteArrayList<>();
+        ArchiveServersPort servers = new ArchiveServersPort(group.next(), new ServerTerms(1, 1, 0, 1, 0, 2.5, SECOND, 6 * SECOND),
+            id -> id.startsWith("long") ? 600 * SECOND : MS, new ArchiveServerPort.History() {
+                @Override
+                public void arrived(long at, String id, String key) {
+                    history.add(id);
+                }
+
+                @Override
+                public void ended(long at, String id, ArchiveServer.Ending how) {
+                    history.add(id + " " + how);
+                }
+            });
+        open.add(servers);
+        Client full = new Client(new InetSocketAddress("127.1.2.3", servers.address().getPort()));
+        full.send("GET /api", "X-Trace-Id: long");
+        while (!history.contains("long")) {
+            assertTrue(history.size() < 2);
+        }
+        assertEquals("503 X-Never-Ran: 1", new Client(new InetSocketAddress("127.1.2.3", servers.address().getPort()))
+            .send("GET /api", "X-Trace-Id: t-1").answer());
+        assertEquals("200 t-2", new Client(new InetSocketAddress("127.1.2.4", servers.address().getPort()))
+            .send("GET /api", "X-Trace-Id: t-2").answer());
+        assertEquals(List.of("long", "t-1", "t-1 TURNED_AWAY", "t-2", "t-2 SERVED"), history);
+        assertEquals(3, servers.traffic().opened());
+        assertEquals(3, servers.traffic().open());
+        assertEquals("GET /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: long\r\nContent-Length: 0\r\n\r\n".length() * 3 - 2 * ("long".length() - "t-1".length()),
+            servers.traffic().in());
+        assertTrue(servers.traffic().out() > 0);
+    }
+
+    @Test
+    void answersAreCutInHalfAndCounted() throws Exception {
+        CounterPort counter = new CounterPort(group.next(), ANY, new CounterTerms(1, MS, 99));
+        open.add(counter);
+        assertEquals("200 1", new Client(counter).send("POST /tally/a?n=1&keep_ms=60000").answer());
+        long out = counter.traffic().out();
+        counter.traffic().cutting(true);
+        Client cut = new Client(counter).send("POST /tally/a?n=1&keep_ms=60000");
+        long came = cut.in.lines().mapToInt(line -> line.length() + 2).sum();
+        assertTrue(came < out, () -> came + " of " + out + " bytes came");
+        assertEquals(1, counter.traffic().cut());
+        counter.traffic().cutting(false);
+        assertEquals("200 3", new Client(counter).send("POST /tally/a?n=1&keep_ms=60000").answer());
+    }
 }
