--- /dev/null
+++ b/lab/src/main/java/thistlefall/lab/scale/sockets/Nodes.java
@@ -0,0 +1,33 @@
+package thistlefall.lab.scale.sockets;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import thistlefall.lab.process.Usage;
+import thistlefall.lab.scale.ScaleFile.SocketsSize;
+
+/**
+ * The nodes of a play, real and hollow, with what they speak with.
+ *
+ * @param hollows null if there are none
+ * @param listings when hollow nodes went by which version of the list
+ */
+record Nodes(SocketsSize size, StandIns standIns, RealNodes reals, HollowNodes hollows, Listings listings) {
+    /** How many there are. */
+    double count() {
+        return size.real() + size.hollow();
+    }
+
+    /** All that counts up, now. */
+    Moment now() throws IOException, InterruptedException {
+        List<Usage> usages = new ArrayList<>();
+        List<Map<String, Long>> vars = new ArrayList<>();
+        for (int i = 0; i < size.real(); i++) {
+            usages.add(reals.usage(i));
+            vars.add(reals.figures(i));
+        }
+        return new Moment(System.nanoTime(), standIns.counts(), usages, vars, hollows == null ? null : hollows.usage(),
+            hollows == null ? Map.of() : hollows.figures());
+    }
+}
--- a/lab/src/main/java/thistlefall/lab/scale/sockets/SocketsScale.java
+++ b/lab/src/main/java/thistlefall/lab/scale/sockets/SocketsScale.java
@@ -15,19 +15,16 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import thistlefall.lab.fleet.Load;
 import thistlefall.lab.fleet.NodeConfig;
 import thistlefall.lab.fleet.Topology;
 import thistlefall.lab.load.Retries;
 import thistlefall.lab.process.DeployFile;
-import thistlefall.lab.process.Usage;
 import thistlefall.lab.scale.Point;
 import thistlefall.lab.scale.ScaleFile;
 import thistlefall.lab.scale.ScaleFile.SocketsSize;
 import thistlefall.lab.scenario.Scenario;
-import thistlefall.lab.stand.Member.Phase;
 import thistlefall.lab.stand.Roll;
 
 /**
@@ -36,12 +33,10 @@
  * of it at once, while requests go on; at last processor time is measured without them. Each wait has an end, so the play has one too.
  */
 public final class SocketsScale {
-    private static final double SECOND = 1e9, MS = 1e6, MB = 1 << 20, DIRECT_PER_S = 70;
-    private static final int ROLLOUT = 50, LOOPS = 4;
-    /** The longest waits, in seconds: for processes, for each hollow node more, and for a change of the list. */
-    private static final long START_S = 60, HOLLOW_START_S = 1, CHANGE_S = 15;
-    /** Between two looks at a real node's list, which cost it processor time. */
-    private static final long LOOK_MS = 20;
+    private static final double SECOND = 1e9, MS = 1e6, DIRECT_PER_S = 70;
+    private static final int LOOPS = 4;
+    /** The longest waits, in seconds: for processes, and for each hollow node more. */
+    private static final long START_S = 60, HOLLOW_START_S = 1;
     /** How long requests go on after the calm span, for the changes: so long, or half of the span if that is less. */
     private static final double CHANGES_S = 6;
     /** For how long processor time without requests is measured at the end, or half of the span if that is less; and the rest before. */
@@ -56,18 +51,7 @@
     private final Map<String, Double> figures = new TreeMap<>();
     private final Asked real, hollow, direct;
     private StandIns standIns;
-    private RealNodes reals;
-    private HollowNodes hollows;
-
-    /** All that counts up, at one moment. */
-    private record Moment(long at, StandIns.Counts counts, List<Usage> reals, List<Map<String, Long>> vars, Usage hollow,
-                          Map<String, HollowNodes.Figure> hollowVars) {
-        /** A figure that operators read, over all real and hollow nodes. */
-        long sum(String name) {
-            return vars.stream().mapToLong(one -> one.getOrDefault(name, 0L)).sum()
-                + (hollowVars.containsKey(name) ? hollowVars.get(name).sum() : 0);
-        }
-    }
+    private Nodes nodes;
 
     private SocketsScale(ScaleFile file, SocketsSize size, long seed, Consumer<String> progress) {
         this.file = file;
@@ -131,10 +115,9 @@
             try (HollowNodes all = size.hollow() == 0 ? null : new HollowNodes(configurations.subList(size.real(), configurations.size()), LOOPS,
                     Fit.hollowHeapMb(size), folder, listings::listed);
                 RealNodes processes = new RealNodes(deploy, configurations.subList(0, size.real()), folder, START_S)) {
-                hollows = all;
-                reals = processes;
-                if (hollows != null) {
-                    hollows.ready(START_S + HOLLOW_START_S * size.hollow());
+                nodes = new Nodes(size, stand, processes, all, listings);
+                if (all != null) {
+                    all.ready(START_S + HOLLOW_START_S * size.hollow());
                 }
                 progress.accept(String.format(Locale.ROOT, "%d real and %d hollow nodes serve after %.1f s", size.real(), size.hollow(),
                     (System.nanoTime() - begun) / SECOND));
@@ -161,211 +144,49 @@
 
     private void measure() throws IOException, InterruptedException {
         long begun = System.nanoTime();
-        real.play(standIns.clients(), door -> reals.address(door));
-        hollow.play(standIns.clients(), door -> hollows.address(door));
+        real.play(standIns.clients(), door -> nodes.reals().address(door));
+        hollow.play(standIns.clients(), door -> nodes.hollows().address(door));
         int[] next = new int[1];
         direct.play(standIns.clients(), door -> standIns.unlisted(next[0]++));
         long from = begun + (long) (file.sockets().fromS() * SECOND), to = begun + (long) (file.sockets().spanS() * SECOND);
         sleepUntil(from);
-        Moment first = now();
+        Moment first = nodes.now();
         if (size.trouble() != null) {
             sleepUntil((from + to) / 2);
             standIns.trouble(size.trouble(), true);
         }
         sleepUntil(to);
-        Moment last = now();
+        Moment last = nodes.now();
         if (size.trouble() != null) {
             standIns.trouble(size.trouble(), false);
         }
-        calm(first, last);
+        new CalmFigures(size, figures).calm(first, last);
         progress.accept("calm is measured; the list changes");
-        changes();
+        new ListChanges(nodes, topology.zones().size(), figures).play();
         real.await();
         hollow.await();
         direct.await();
-        latencies(first.at, last.at);
+        latencies(first.at(), last.at());
         alone();
     }
 
     /** Processor time once requests are over: that of control but for calls to the counter, which follow from requests. */
     private void alone() throws IOException, InterruptedException {
         sleepUntil(System.nanoTime() + (long) (REST_S * SECOND));
-        Moment first = now();
-        sleepUntil(first.at + (long) (Math.min(ALONE_S, file.sockets().spanS() / 2) * SECOND));
-        Moment last = now();
+        Moment first = nodes.now();
+        sleepUntil(first.at() + (long) (Math.min(ALONE_S, file.sockets().spanS() / 2) * SECOND));
+        Moment last = nodes.now();
         if (size.real() > 0) {
-            double share = cpu(first, last) / size.real() / ((last.at - first.at) / SECOND);
+            double share = last.realCpuS(first) / size.real() / ((last.at() - first.at()) / SECOND);
             figures.put("real-cpu-without-requests-core-share", share);
             figures.put("real-cpu-by-requests-core-share", Math.max(0, figures.get("real-cpu-core-share") - share));
         }
     }
 
-    /** Processor time of all real nodes between two moments, in seconds. */
-    private double cpu(Moment first, Moment last) {
-        return IntStream.range(0, size.real()).mapToDouble(i -> last.reals.get(i).cpuS() - first.reals.get(i).cpuS()).sum();
-    }
-
     private static void sleepUntil(long at) throws InterruptedException {
         TimeUnit.NANOSECONDS.sleep(Math.max(0, at - System.nanoTime()));
     }
 
-    private Moment now() throws IOException, InterruptedException {
-        List<Usage> usages = new ArrayList<>();
-        List<Map<String, Long>> vars = new ArrayList<>();
-        for (int i = 0; i < size.real(); i++) {
-            usages.add(reals.usage(i));
-            vars.add(reals.figures(i));
-        }
-        return new Moment(System.nanoTime(), standIns.counts(), usages, vars, hollows == null ? null : hollows.usage(),
-            hollows == null ? Map.of() : hollows.figures());
-    }
-
-    /** Figures of the calm span: of control by node, of calls and requests by the nodes that are asked. */
-    private void calm(Moment first, Moment last) {
-        double span = (last.at - first.at) / SECOND, nodes = size.real() + size.hollow();
-        double asked = (size.realRequestsPerS() > 0 ? size.real() : 0) + (size.hollowRequestsPerS() > 0 ? size.hollow() : 0);
-        StandIns.Counts from = first.counts, to = last.counts;
-        figures.put("discovery-to-node-bytes-per-node-s", (to.discoveryOut() - from.discoveryOut()) / nodes / span);
-        figures.put("discovery-from-node-bytes-per-node-s", (to.discoveryIn() - from.discoveryIn()) / nodes / span);
-        figures.put("answers-cut", (double) (to.cut() - from.cut()));
-        if (asked > 0) {
-            double calls = to.calls() - from.calls(), attempts = to.attempts() - from.attempts();
-            figures.put("counter-calls-per-asked-node-s", calls / asked / span);
-            figures.put("counter-to-node-bytes-per-asked-node-s", (to.counterOut() - from.counterOut()) / asked / span);
-            figures.put("counter-from-node-bytes-per-asked-node-s", (to.counterIn() - from.counterIn()) / asked / span);
-            if (calls > 0) {
-                figures.put("counter-added-share", (to.answered() - from.answered()) / calls);
-                figures.put("counter-late-share", (to.late() - from.late()) / calls);
-                figures.put("counter-turned-away-share", (to.turnedAway() - from.turnedAway()) / calls);
-            }
-            figures.put("archive-servers-to-node-bytes-per-asked-node-s", (to.serversOut() - from.serversOut()) / asked / span);
-            figures.put("archive-servers-from-node-bytes-per-asked-node-s", (to.serversIn() - from.serversIn()) / asked / span);
-            double tries = last.sum("app.upstream_tries") - first.sum("app.upstream_tries");
-            figures.put("attempts-per-asked-node-s", tries / asked / span);
-            figures.put("connections-open-per-asked-node", last.sum("app.connections.archive_servers.open") / asked);
-            if (tries > 0 && attempts > 0) {
-                figures.put("connections-opened-per-attempt", (last.sum("app.connections.archive_servers.opened")
-                    - first.sum("app.connections.archive_servers.opened")) / tries);
-                figures.put("connections-reused-per-attempt", (last.sum("app.connections.archive_servers.reused")
-                    - first.sum("app.connections.archive_servers.reused")) / tries);
-            }
-        }
-        usage(first, last, span);
-    }
-
-    private void usage(Moment first, Moment last, double span) {
-        if (size.real() > 0) {
-            figures.put("real-cpu-core-share", cpu(first, last) / size.real() / span);
-            Map<String, Double> threads = new TreeMap<>();
-            for (int i = 0; i < size.real(); i++) {
-                last.reals.get(i).byThread().forEach((name, cpu) -> threads.merge(kind(name), cpu, Double::sum));
-                first.reals.get(i).byThread().forEach((name, cpu) -> threads.merge(kind(name), -cpu, Double::sum));
-            }
-            threads.forEach((kind, cpu) -> figures.put("real-cpu-" + kind + "-core-share", Math.max(0, cpu) / size.real() / span));
-            figures.put("real-resident-mb", last.reals.stream().mapToLong(Usage::residentBytes).sum() / MB / size.real());
-            figures.put("real-resident-most-mb", last.reals.stream().mapToLong(Usage::residentBytes).max().orElseThrow() / MB);
-            figures.put("real-longest-turn-before-ms", standstill(first));
-            figures.put("real-longest-turn-ms", standstill(last));
-        }
-        if (size.hollow() > 0) {
-            figures.put("hollow-cpu-core-share", (last.hollow.cpuS() - first.hollow.cpuS()) / size.hollow() / span);
-            figures.put("hollow-resident-mb", last.hollow.residentBytes() / MB / size.hollow());
-        }
-    }
-
-    /** What a thread does, by its name: the client loop and the operators' have one name. */
-    private static String kind(String thread) {
-        return thread.startsWith("multiThread") ? "loops" : thread.startsWith("C1") ? "compiler" : thread.startsWith("VM Thread") ? "collector" : "others";
-    }
-
-    private static double standstill(Moment at) {
-        return at.vars.stream().mapToLong(one -> one.getOrDefault("app.loop.longest_standstill_ms", 0L)).max().orElse(0);
-    }
-
-    private void changes() throws IOException, InterruptedException {
-        List<Integer> service = IntStream.range(0, Math.min(ROLLOUT, size.servers() / 2)).boxed().toList();
-        List<Integer> zone = IntStream.range(0, size.servers()).filter(i -> i % topology.zones().size() == 0).boxed().toList();
-        change("change-of-one", List.of(size.servers() - 1));
-        change("rollout", service);
-        change("zone", zone);
-        StandIns.Counts before = standIns.counts();
-        List<Usage> used = usages();
-        long from = System.nanoTime();
-        Usage usedHollow = hollows == null ? null : hollows.usage();
-        long since = System.nanoTime();
-        // One entry differs: what a real node goes by tells that it has taken the list.
-        inForce("whole-list", standIns.restartDiscovery(List.of(size.servers() - 1), Phase.TERMINATING), since, size.servers() - 1);
-        StandIns.Counts after = standIns.counts();
-        figures.put("whole-list-bytes-per-node", (double) (after.discoveryOut() - before.discoveryOut()) / (size.real() + size.hollow()));
-        List<Usage> usedAfter = usages();
-        double waited = (System.nanoTime() - from) / SECOND, cpu = 0;
-        for (int i = 0; i < size.real(); i++) {
-            cpu += (usedAfter.get(i).cpuS() - used.get(i).cpuS()) / size.real();
-        }
-        if (size.real() > 0) {
-            // Requests go on meanwhile, and need what they did.
-            figures.put("whole-list-real-cpu-s", Math.max(0, cpu - waited * figures.get("real-cpu-core-share")));
-        }
-        if (hollows != null) {
-            figures.put("whole-list-hollow-cpu-s", (hollows.usage().cpuS() - usedHollow.cpuS()) / size.hollow());
-        }
-        if (size.real() > 0) {
-            figures.put("real-longest-turn-with-changes-ms", standstill(now()));
-        }
-    }
-
-    private List<Usage> usages() throws IOException {
-        List<Usage> all = new ArrayList<>();
-        for (int i = 0; i < size.real(); i++) {
-            all.add(reals.usage(i));
-        }
-        return all;
-    }
-
-    /** These drain, and are back as ever when that is in force everywhere. */
-    private void change(String name, List<Integer> numbers) throws IOException, InterruptedException {
-        long since = System.nanoTime();
-        StandIns.Counts before = standIns.counts();
-        inForce(name, standIns.change(numbers, Phase.TERMINATING, 0), since, size.servers() - numbers.size());
-        figures.put(name + "-bytes-per-node", (double) (standIns.counts().discoveryOut() - before.discoveryOut()) / (size.real() + size.hollow()));
-        inForce(null, standIns.change(numbers, Phase.READY, 0), System.nanoTime(), size.servers());
-    }
-
-    /**
-     * Waits until all go by a version, real ones told by how many servers they may send to, and tells when the first, the median
-     * and the last did; {@code name} is null if that is no figure.
-     */
-    private void inForce(String name, long revision, long since, int usable) throws IOException, InterruptedException {
-        List<Double> spans = new ArrayList<>();
-        List<Integer> left = new ArrayList<>(IntStream.range(0, size.real()).boxed().toList());
-        long until = since + TimeUnit.SECONDS.toNanos(CHANGE_S);
-        while (System.nanoTime() < until && !(left.isEmpty() && listings.everywhere(size.hollow(), revision))) {
-            for (int node : List.copyOf(left)) {
-                if (reals.usable(node) == usable) {
-                    spans.add((System.nanoTime() - since) / SECOND);
-                    left.remove((Integer) node);
-                }
-            }
-            Thread.sleep(LOOK_MS);
-        }
-        if (name != null && !spans.isEmpty()) {
-            // Each hollow node waits for those on its loop: a whole list is longer in their way than in that of real ones.
-            figures.put(name + "-real-last-s", spans.get(spans.size() - 1));
-        }
-        for (double span : listings.spans(size.hollow(), revision, since)) {
-            spans.add(span);
-        }
-        spans.sort(null);
-        if (name != null) {
-            figures.put(name + "-missed-nodes", (double) size.real() + size.hollow() - spans.size());
-            if (!spans.isEmpty()) {
-                figures.put(name + "-first-s", spans.get(0));
-                figures.put(name + "-median-s", spans.get((spans.size() - 1) / 2));
-                figures.put(name + "-last-s", spans.get(spans.size() - 1));
-            }
-        }
-    }
-
     private void latencies(long from, long to) {
         Asked.Outcome by = direct.outcome(standIns, from, to);
         for (Map.Entry<String, Asked> one : Map.of("real", real, "hollow", hollow).entrySet()) {
