The cut-answer test waits until the server's close is seen before its next request

Need: under a load of 8 and more CrossingsTest#anAnswerCutAtAnyByteIsNoAnswer failed once in a whole verify: 'nothing came'. By reading: behind a whole answer the peer closes, and a request written before the node has seen that goes with it, unread; an unsafe one is not sent again, and the answer is 502 as it should be. Now it waits until the node has no connection to the server. Same assertions.

--- a/edge/src/test/java/thistlefall/node/ConnectionsTest.java
+++ b/edge/src/test/java/thistlefall/node/ConnectionsTest.java
@@ -51,7 +51,7 @@
         throw new AssertionError("no figure " + name);
     }
 
-    private static void await(EdgeNode node, String name, long value) throws InterruptedException {
+    static void await(EdgeNode node, String name, long value) throws InterruptedException {
         while (figure(node, name) != value) {
             Thread.sleep(5);
         }
--- a/edge/src/test/java/thistlefall/node/CrossingsTest.java
+++ b/edge/src/test/java/thistlefall/node/CrossingsTest.java
@@ -368,7 +368,8 @@
             m.socket().setSoLinger(resets.take(), 0);
             m.socket().close();
         });
-        Socket client = client(node(server));
+        EdgeNode node = node(server);
+        Socket client = client(node);
         for (String form : forms) {
             int head = form.indexOf("\r\n\r\n") + 4;
             for (int cut = 0; cut <= form.length(); cut++) {
@@ -388,6 +389,8 @@
                     assertEquals(whole ? "body" : "", answer.body(), id);
                     assertEquals(id, server.next().headers().get("x-trace-id"));
                     assertTrue(server.seen.isEmpty(), "sent again: " + id);
+                    // It is closed behind a whole answer: what is written before that is seen ends as a reset, unread.
+                    ConnectionsTest.await(node, "connections.archive_servers.open", 0);
                 }
             }
         }
