--- a/lab/src/main/java/thistlefall/lab/cli/Scale.java
+++ b/lab/src/main/java/thistlefall/lab/cli/Scale.java
@@ -63,7 +63,7 @@
                 System.err.println(file + ": has no such side or sizes");
                 return 2;
             }
-            String date = LocalDate.now().toString(), command = String.join(" ", spec.root().commandLine().getParseResult().originalArgs());
+            String date = LocalDate.now().toString(), command = command();
             Path folder = out != null ? out : Path.of("target", "scale", read.name());
             for (Planned one : plays) {
                 long begun = System.nanoTime();
@@ -81,6 +81,16 @@
         }
     }
 
+    /** As it was typed, less where its result goes: that is the machine's, and changes no play. */
+    private String command() {
+        List<String> typed = new ArrayList<>(spec.root().commandLine().getParseResult().originalArgs());
+        int at = typed.indexOf("--out");
+        if (at >= 0) {
+            typed.subList(at, Math.min(at + 2, typed.size())).clear();
+        }
+        return String.join(" ", typed);
+    }
+
     private List<Planned> plays(ScaleFile read) {
         List<Planned> plays = new ArrayList<>();
         Consumer<String> progress = System.out::println;
--- a/lab/src/test/java/thistlefall/lab/cli/LabTest.java
+++ b/lab/src/test/java/thistlefall/lab/cli/LabTest.java
@@ -63,6 +63,7 @@
         Path plots = folder.resolve("plots.html");
         assertEquals(0, lab("scale", "report", folder.resolve("made").toString(), "--plots", plots.toString()), said);
         assertTrue(said.contains("| model | nodes 5, servers 10 | nodes 10, servers 20 | counter-gone, nodes 10, servers 20 |"), said);
+        assertTrue(said.contains("small.yaml --side model --seeds 8..9` | model |") && !said.contains(folder.resolve("made").toString()), said);
         assertTrue(said.contains("| plays | 2 | 2 | 2 |") && said.contains("### In what order budgets break"), said);
         assertTrue(Files.readString(plots).contains("data:image/png;base64,"));
         assertEquals(0, lab("scale", file.toString(), "--side", "model", "--sizes", "1..1", "--out", folder.resolve("made").toString()), said);
