A whole list's processor time ends when the real nodes have it; what is true of hollow nodes, and what is not

Cause: the span ended when the last hollow node had the list, so that requests of 14 s were taken off and 0 was left. Change: it ends when all real nodes go by the list.

--- a/lab/src/main/java/thistlefall/lab/scale/sockets/ListChanges.java
+++ b/lab/src/main/java/thistlefall/lab/scale/sockets/ListChanges.java
@@ -25,6 +25,9 @@
     private final SocketsSize size;
     private final int zones;
     private final Map<String, Double> figures;
+    /** When the last change was in force at all real nodes, and their processor time up to then; as long as it was not, 0. */
+    private long realsAt;
+    private double realsCpuS;
 
     /** What they come to is put among these figures, which have those of the calm span already. */
     ListChanges(Nodes nodes, int zones, Map<String, Double> figures) {
@@ -49,10 +52,12 @@
         inForce("whole-list", nodes.standIns().restartDiscovery(List.of(size.servers() - 1), Phase.TERMINATING), since, size.servers() - 1);
         Moment after = nodes.now();
         figures.put("whole-list-bytes-per-node", (after.counts().discoveryOut() - before.counts().discoveryOut()) / nodes.count());
-        if (size.real() > 0) {
+        if (size.real() > 0 && realsAt > 0) {
             // Requests go on meanwhile, and need what they did.
-            double others = figures.get("real-cpu-core-share") * (after.at() - before.at()) / SECOND;
-            figures.put("whole-list-real-cpu-s", Math.max(0, after.realCpuS(before) / size.real() - others));
+            double others = figures.get("real-cpu-core-share") * (realsAt - before.at()) / SECOND;
+            figures.put("whole-list-real-cpu-s", Math.max(0, (realsCpuS - before.realCpuS()) / size.real() - others));
+        }
+        if (size.real() > 0) {
             figures.put("real-longest-turn-with-changes-ms", after.longestTurnMs());
         }
         if (size.hollow() > 0) {
@@ -77,6 +82,7 @@
         List<Double> spans = new ArrayList<>();
         List<Integer> left = new ArrayList<>(IntStream.range(0, size.real()).boxed().toList());
         long until = since + TimeUnit.SECONDS.toNanos(CHANGE_S);
+        realsAt = 0;
         while (System.nanoTime() < until && !(left.isEmpty() && nodes.listings().everywhere(size.hollow(), revision))) {
             for (int node : List.copyOf(left)) {
                 if (nodes.reals().usable(node) == usable) {
@@ -84,6 +90,10 @@
                     left.remove((Integer) node);
                 }
             }
+            if (left.isEmpty() && realsAt == 0) {
+                realsCpuS = nodes.realCpuS();
+                realsAt = System.nanoTime();
+            }
             Thread.sleep(LOOK_MS);
         }
         if (name != null && !spans.isEmpty()) {
--- a/lab/src/main/java/thistlefall/lab/scale/sockets/Moment.java
+++ b/lab/src/main/java/thistlefall/lab/scale/sockets/Moment.java
@@ -27,8 +27,13 @@
         return vars.stream().mapToLong(one -> one.getOrDefault("app.loop.longest_standstill_ms", 0L)).max().orElse(0);
     }
 
-    /** Processor time of all real nodes since an earlier moment, in seconds. */
+    /** Processor time of all real nodes up to then, in seconds. */
+    double realCpuS() {
+        return reals.stream().mapToDouble(Usage::cpuS).sum();
+    }
+
+    /** The same since an earlier moment. */
     double realCpuS(Moment before) {
-        return reals.stream().mapToDouble(Usage::cpuS).sum() - before.reals.stream().mapToDouble(Usage::cpuS).sum();
+        return realCpuS() - before.realCpuS();
     }
 }
--- a/lab/src/main/java/thistlefall/lab/scale/sockets/Nodes.java
+++ b/lab/src/main/java/thistlefall/lab/scale/sockets/Nodes.java
@@ -19,6 +19,15 @@
         return size.real() + size.hollow();
     }
 
+    /** Processor time of all real nodes up to now, in seconds. */
+    double realCpuS() throws IOException {
+        double sum = 0;
+        for (int i = 0; i < size.real(); i++) {
+            sum += reals.usage(i).cpuS();
+        }
+        return sum;
+    }
+
     /** All that counts up, now. */
     Moment now() throws IOException, InterruptedException {
         List<Usage> usages = new ArrayList<>();
