The most urgent customer is looked for, not all of them sorted each 10 ms

Need, seen on reading the change again: the order by urgency sorted all active customers at each timer, also when the budget had no call. Change: the most urgent one that is due is looked for, and again while the budget has a call. Where it has none for one, it has none for a less urgent one, so the calls are the same ones in the same order.

--- a/edge/src/main/java/thistlefall/Gateway.java
+++ b/edge/src/main/java/thistlefall/Gateway.java
@@ -443,6 +443,30 @@
         return may;
     }
 
+    /** Tells of the most urgent first: if the budget has no call for one, it has none for the rest. */
+    private void tell() {
+        active.removeIf(Customer::quiet);
+        Customer first = mostUrgent();
+        while (first != null && mayCall(first.urgency())) {
+            first.call(null);
+            first = mostUrgent();
+        }
+    }
+
+    /** Of those whose next call is due; null if none is. */
+    private Customer mostUrgent() {
+        Customer most = null;
+        double urgency = 0;
+        for (Customer one : active) {
+            double its = now >= one.pushAt ? one.urgency() : 0;
+            if (its > urgency) {
+                most = one;
+                urgency = its;
+            }
+        }
+        return most;
+    }
+
     @Override public void probed(long at, String id, Outcome how, long took, List<Double> report) {
         now = at;
         Backend backend = servers.get(id);
@@ -476,8 +500,7 @@
         for (ArrayDeque<Call> line : calls.values()) {
             line.stream().filter(call -> call.at < due).forEach(call -> call.customer.conclude(call, false));
         }
-        active.stream().sorted(Comparator.comparingDouble(Customer::urgency).reversed()).toList()
-            .forEach(Customer::push);
+        tell();
         if (now >= nextControl) {
             nextControl += SECOND;
             control.boundLevel();
@@ -635,15 +658,11 @@
             return Math.abs(unpushed) * gateways / 2 / Math.max(store, plan.burst() / 8);
         }
 
-        /** One call for a customer with fresh use, more often when its store runs low. */
-        void push() {
+        /** Whether nothing of it is left to tell, or what is left is too old to matter. */
+        boolean quiet() {
             boolean fresh = Math.abs(unpushed) > 1e-6 && now - usedAt < span && shared;
-            if (!fresh) {
-                unpushed = 0;
-                active.remove(this);
-            } else if (now >= pushAt && mayCall(urgency())) {
-                call(null);
-            }
+            unpushed = fresh ? unpushed : 0;
+            return !fresh;
         }
 
         private void call(Job job) {
