--- a/review/kit/Case.sh
+++ b/review/kit/Case.sh
@@ -9,7 +9,7 @@
   work=$(mktemp -d)
   trap 'rm -rf "$work"' EXIT
   local code=0
-  timeout -k 3 118 java -Xmx512m -Droot="$root" -Dwork="$work" -Drecord="$here/record.txt" \
+  timeout -k 3 112 java -Xmx512m -Droot="$root" -Dwork="$work" -Drecord="$here/record.txt" \
     -cp "$root/review/out" "$class" || code=$?
   [ "$code" -le 1 ] || code=2
   exit "$code"
--- a/review/kit/Node.java
+++ b/review/kit/Node.java
@@ -64,6 +64,16 @@
     return start(name, listen, temporary, settings, discovery, counter, sockets);
   }
 
+  /** A first process, with a list of its own that may be old. */
+  static Node start(
+      String name, String settings, String discovery, String known, Counter counter, int sockets)
+      throws Exception {
+    Path temporary = Files.createDirectory(work().resolve(name + ".tmp"));
+    String listen = "127.0.0.1:" + Listener.freePort();
+    return start(name, listen, temporary, settings, discovery, known, counter, sockets);
+  }
+
+  /** A further process at the same address and with the same temporary folder: an upgrade. */
   static Node start(
       String name,
       String listen,
@@ -73,6 +83,20 @@
       Counter counter,
       int sockets)
       throws Exception {
+    return start(
+        name, listen, temporary, settings, discovery.listener.address(), discovery.list(), counter, sockets);
+  }
+
+  private static Node start(
+      String name,
+      String listen,
+      Path temporary,
+      String settings,
+      String discovery,
+      String known,
+      Counter counter,
+      int sockets)
+      throws Exception {
     String ops = "127.0.0.1:" + Listener.freePort();
     String unique = name + "-" + System.nanoTime();
     Path config = work().resolve(unique + ".json");
@@ -84,19 +108,19 @@
                 + "\"known\":%s,\"settings\":%s}",
             name,
             listen,
-            discovery.listener.address(),
+            discovery,
             counter.listener.address(),
             ops,
             System.nanoTime() * 0x9E3779B97F4A7C15L,
             sockets,
-            discovery.list(),
+            known,
             settings);
     Files.writeString(config, text);
     ProcessBuilder builder = new ProcessBuilder(List.of("/bin/sh", "-c", runCommand()));
     builder.directory(root().toFile());
     builder.environment().put("GW_NAME", name);
     builder.environment().put("GW_LISTEN", listen);
-    builder.environment().put("GW_DISCOVERY", discovery.listener.address());
+    builder.environment().put("GW_DISCOVERY", discovery);
     builder.environment().put("GW_CONFIG", config.toString());
     builder.environment().put("GW_OPS", ops);
     builder.environment().put("TMPDIR", temporary.toString());
