--- a/edge/src/main/java/edgegateway/node/clients/ClientHttpServer.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientHttpServer.java
@@ -41,6 +41,7 @@
   private final NodeConfig config;
   private final ClientConnectionTable connections;
   private final ConnectionAcceptor acceptor;
+  private final CutResponseLog cutResponses;
 
   /** Null if clients' connections are not encrypted. */
   private final TlsTermination tls;
@@ -78,6 +79,7 @@
     this.config = config;
     connections = new ClientConnectionTable(this::scheduleEvictions, connectionMetrics);
     acceptor = new ConnectionAcceptor(loop, this::descriptorsExhausted);
+    cutResponses = new CutResponseLog(connectionMetrics);
     tls = config.tls() == null ? null : new TlsTermination(config.tls(), connectionMetrics);
     sessionContext =
         new ClientSessionContext(
@@ -92,7 +94,7 @@
             loop,
             tls != null);
     loop.scheduleAtFixedRate(
-        () -> connections.enforceTimeouts(System.nanoTime()),
+        this::enforceTimeouts,
         TIMEOUT_CHECK_INTERVAL_MILLIS,
         TIMEOUT_CHECK_INTERVAL_MILLIS,
         TimeUnit.MILLISECONDS);
@@ -106,6 +108,11 @@
     ConnectionAcceptor.afterNextSelect(loop, () -> connections.evictSelected(System.nanoTime()));
   }
 
+  private void enforceTimeouts() {
+    connections.enforceTimeouts(System.nanoTime());
+    cutResponses.logNew();
+  }
+
   /** Applies a new budget of file descriptors. */
   public void applyBudget(DescriptorBudget budget) {
     connections.applyBudget(System.nanoTime(), budget);
@@ -244,6 +251,7 @@
 
   private void completeDrain() {
     if (drained != null && !acceptor.isOpen() && connections.openCount() == 0) {
+      cutResponses.logNew();
       drained.complete(null);
     }
   }
--- a/edge/src/main/java/edgegateway/node/clients/ClientResponseWriter.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientResponseWriter.java
@@ -1,6 +1,7 @@
 package edgegateway.node.clients;
 
 import edgegateway.node.connections.BufferedBodies;
+import edgegateway.node.connections.ConnectionMetrics.CloseReason;
 import edgegateway.node.metrics.NodeMetrics.RequestEnd;
 import edgegateway.node.requests.ClientRequestHandler;
 import edgegateway.node.requests.InFlightRequest;
@@ -99,9 +100,9 @@
     session.requestAbandoned();
     if (closeDelimited) {
       // A regular close would mark the truncated body as complete.
-      ConnectionCloser.reset(channel);
+      session.reset(CloseReason.RESPONSE_INCOMPLETE);
     } else {
-      channel.close();
+      session.close(CloseReason.RESPONSE_INCOMPLETE);
     }
   }
 
@@ -121,13 +122,13 @@
       Runnable onClientDisconnect = session.endStreaming();
       session.requestAbandoned();
       handler.responseEnded(streamedRequest, RequestEnd.FAILED);
-      ConnectionCloser.reset(channel);
+      session.reset(CloseReason.RESPONSE_DEADLINE);
       onClientDisconnect.run();
     } else if (lastWrite != null && !lastWrite.isDone() && session.isWithoutRequest()) {
       // All of the response was passed to the channel, but its client reads it too slowly. The
       // connection is not reset if it has a further request, which would be lost with it. See
       // LongBodyTest#aCompleteResponseUnreadAtItsDeadlineIsResetUnlessAnotherRequestIsQueued.
-      ConnectionCloser.reset(channel);
+      session.reset(CloseReason.RESPONSE_DEADLINE);
     }
   }
 
--- a/edge/src/main/java/edgegateway/node/clients/ClientSession.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientSession.java
@@ -4,6 +4,7 @@
 
 import edgegateway.node.connections.BufferedBodies;
 import edgegateway.node.connections.ClientConnection;
+import edgegateway.node.connections.ConnectionMetrics.CloseReason;
 import edgegateway.node.connections.TransportHandle;
 import edgegateway.node.logging.EventLog;
 import edgegateway.node.requests.InFlightRequest;
@@ -96,6 +97,18 @@
     channel.close();
   }
 
+  /** Closes the socket for a reason other than the connection table's. */
+  void close(CloseReason reason) {
+    connection.closedBy(reason);
+    channel.close();
+  }
+
+  /** Resets the connection, so that the client recognizes a truncated response. */
+  void reset(CloseReason reason) {
+    connection.closedBy(reason);
+    ConnectionCloser.reset(channel);
+  }
+
   /** Called when the TLS handshake of the connection is complete. */
   void handshakeCompleted() {
     connection.handshakeCompleted();
@@ -169,7 +182,7 @@
     boolean requestComplete = current != null && !uploadPending || !pipelined.isEmpty();
     boolean uploadTruncated = uploadPending && !pipelined.hasEndOfBody();
     if (!requestComplete || uploadTruncated) {
-      channel.close();
+      close(CloseReason.INPUT_ENDED);
       return;
     }
     connection.halfClosed();
@@ -429,7 +442,7 @@
     }
     if (current == null && pipelined.isEmpty() && inputEnded && !closing) {
       // The input ended within a request.
-      channel.close();
+      close(CloseReason.INPUT_ENDED);
     }
   }
 
--- a/edge/src/main/java/edgegateway/node/clients/RequestBodyUpload.java
+++ b/edge/src/main/java/edgegateway/node/clients/RequestBodyUpload.java
@@ -1,5 +1,6 @@
 package edgegateway.node.clients;
 
+import edgegateway.node.connections.ConnectionMetrics.CloseReason;
 import edgegateway.node.requests.BodyRelay;
 import edgegateway.node.requests.ClientRequestHandler;
 import edgegateway.node.requests.InFlightRequest;
@@ -109,7 +110,7 @@
   void forward(HttpObject message) {
     receivedBytes += PipelinedMessages.contentBytes(message);
     if (message.decoderResult().isFailure() || receivedBytes > MAX_BODY_BYTES) {
-      channel.close();
+      session.close(CloseReason.INVALID_BODY);
       return;
     }
     if (!forwardingStarted) {
--- a/edge/src/main/java/edgegateway/node/connections/ClientConnection.java
+++ b/edge/src/main/java/edgegateway/node/connections/ClientConnection.java
@@ -179,10 +179,23 @@
 
   /** Closes the socket; the session then calls {@link #closed}. */
   void close(CloseReason reason) {
-    metrics.closed(reason);
+    closedBy(reason);
     transport.close();
   }
 
+  /** Reports that this node closes or resets the socket without regard to unwritten data. */
+  public void closedBy(CloseReason reason) {
+    metrics.closed(reason);
+    if (hasUnwrittenResponse()) {
+      metrics.responseCut(reason);
+    }
+  }
+
+  /** Whether a part of a complete response has not been written to the socket. */
+  public boolean hasUnwrittenResponse() {
+    return pendingWrites > 0;
+  }
+
   /** Removes a lingering connection from the table and closes its socket, to free capacity. */
   void closeLingering() {
     closed();
--- a/edge/src/main/java/edgegateway/node/connections/ConnectionMetrics.java
+++ b/edge/src/main/java/edgegateway/node/connections/ConnectionMetrics.java
@@ -26,13 +26,26 @@
     /** Idle while the node drains. */
     DRAINED("drain"),
     /** Accepted over capacity, but no request arrived in time to be rejected. */
-    OVER_CAPACITY("timed_out.crowded");
+    OVER_CAPACITY("timed_out.crowded"),
+    /** The client's input ended within a request, or between requests. */
+    INPUT_ENDED("input_ended"),
+    /** A streamed request body was invalid or too long. */
+    INVALID_BODY("invalid_body"),
+    /** The archive server did not complete the response that was streamed to the client. */
+    RESPONSE_INCOMPLETE("response_incomplete"),
+    /** The response was not written completely by the client's deadline. */
+    RESPONSE_DEADLINE("response_deadline");
 
     private final String metricName;
 
     CloseReason(String metricName) {
       this.metricName = metricName;
     }
+
+    /** The name of the reason in metrics and log lines. */
+    public String metricName() {
+      return metricName;
+    }
   }
 
   /** Cached: {@code values()} copies the array. */
@@ -52,12 +65,34 @@
   final AtomicLong bufferedBytes = new AtomicLong();
   final AtomicLong bodiesRejected = new AtomicLong();
   private final AtomicLongArray closedByReason = new AtomicLongArray(CLOSE_REASONS.length);
+  private final AtomicLongArray responsesCutByReason = new AtomicLongArray(CLOSE_REASONS.length);
 
   /** Counts a client's connection that this node closes. */
   void closed(CloseReason reason) {
     closedByReason.incrementAndGet(reason.ordinal());
   }
 
+  /** Counts a complete response of which a part was not written when this node closed. */
+  void responseCut(CloseReason reason) {
+    responsesCutByReason.incrementAndGet(reason.ordinal());
+  }
+
+  /**
+   * The number of complete responses of which a part was not written to the socket when this node
+   * closed the connection for this reason.
+   */
+  public long responsesCut(CloseReason reason) {
+    return responsesCutByReason.get(reason.ordinal());
+  }
+
+  private long responsesCut() {
+    long sum = 0;
+    for (CloseReason reason : CLOSE_REASONS) {
+      sum += responsesCut(reason);
+    }
+    return sum;
+  }
+
   /** Passes the name and value of each metric, as shown to operators. Thread-safe. */
   public void forEach(BiConsumer<String, Long> consumer) {
     consumer.accept("open", clientsOpen.get());
@@ -70,6 +105,7 @@
     for (CloseReason reason : CLOSE_REASONS) {
       consumer.accept(reason.metricName, closedByReason.get(reason.ordinal()));
     }
+    consumer.accept("responses_cut", responsesCut());
     consumer.accept("archive_servers.open", upstreamsOpen.get());
     consumer.accept("archive_servers.opened", upstreamConnects.get());
     consumer.accept("archive_servers.not_opened", upstreamConnectFailures.get());
--- a/edge/src/test/java/edgegateway/node/connections/ClientConnectionTableTest.java
+++ b/edge/src/test/java/edgegateway/node/connections/ClientConnectionTableTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import edgegateway.node.connections.ConnectionMetrics.CloseReason;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.ArrayList;
@@ -320,6 +321,23 @@
     assertFalse(newClient.closed);
   }
 
+  /** Tells apart which close cut a complete response, and does not count any other close. */
+  @Test
+  void aCloseBeforeTheResponseIsWrittenIsCountedByReason() {
+    applyBudget(10, 4);
+    FakeClient written = new FakeClient(1);
+    written.connection.writeStarted(now);
+    written.connection.writeCompleted(now);
+    written.connection.closedBy(CloseReason.RESPONSE_DEADLINE);
+    assertEquals(0L, metricValues().get("responses_cut"));
+    FakeClient unwritten = new FakeClient(1);
+    unwritten.connection.writeStarted(now);
+    unwritten.connection.closedBy(CloseReason.RESPONSE_DEADLINE);
+    assertEquals(1L, metricValues().get("responses_cut"));
+    assertEquals(1L, metrics.responsesCut(CloseReason.RESPONSE_DEADLINE));
+    assertEquals(2L, metricValues().get("response_deadline"));
+  }
+
   @Test
   void aSmallerBudgetIsReachedAsConnectionsBecomeIdle() {
     applyBudget(20, 4);
