Keep a client's connection open until its response is written to the socket

Cause: a connection became IDLE when its last write was passed to Netty, while up to 128 KiB of the response waited for the socket; a drain, the idle and head timeouts and evictions then closed it, which drops what is unwritten. Change: the state FLUSHING lasts until the last write is complete; with an unwritten response only 8 s without progress ends the connection, in every state, and the waits for the next request count from the last byte written. This works because every close by the connection table asks the one question whether a response is unwritten.

--- a/edge/src/main/java/edgegateway/node/clients/ClientResponseWriter.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientResponseWriter.java
@@ -93,7 +93,7 @@
       lastWrite = responses.endStream();
       lastWrite.addListener(
           done -> handler.responseEnded(request, done.isSuccess() ? RequestEnd.FORWARDED : null));
-      session.responseWritten(lastWrite);
+      session.responseSubmitted(lastWrite);
       return;
     }
     handler.responseEnded(request, RequestEnd.FAILED);
--- a/edge/src/main/java/edgegateway/node/clients/ClientSession.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientSession.java
@@ -157,7 +157,7 @@
   public void channelReadComplete(ChannelHandlerContext handlerContext) {
     if (isForwardingUpload()) {
       upload.readComplete();
-    } else if (!closing && connection.isIdle() && decoder.hasUndecodedBytes()) {
+    } else if (!closing && connection.awaitsRequest() && decoder.hasUndecodedBytes()) {
       connection.bytesReceived(System.nanoTime(), 0);
     }
   }
@@ -396,11 +396,12 @@
   }
 
   /**
-   * Called after the last write of a response: closes the connection or handles the next request.
+   * Called when a response was passed to the channel completely: closes the connection once the
+   * response is written, or handles the next request.
    *
    * @param lastWrite completes when the response is written
    */
-  void responseWritten(ChannelFuture lastWrite) {
+  void responseSubmitted(ChannelFuture lastWrite) {
     closing =
         persistence.isCloseAnnounced() || context.server().isDraining() && pipelined.isEmpty();
     current = null;
@@ -413,7 +414,7 @@
       lastWrite.addListener(done -> closeAfterLastResponse(done.isSuccess()));
       return;
     }
-    connection.responseSent(System.nanoTime());
+    connection.responseSubmitted(System.nanoTime());
     lastWrite.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     if (!pipelined.isEmpty() || !channel.config().isAutoRead()) {
       context.loop().execute(this::receivePipelined);
--- a/edge/src/main/java/edgegateway/node/clients/ResponseSender.java
+++ b/edge/src/main/java/edgegateway/node/clients/ResponseSender.java
@@ -73,7 +73,7 @@
     }
     persistence.announce(headers, session.acceptsNoFurtherRequest());
     ChannelFuture written = reportingProgress(channel.writeAndFlush(response));
-    session.responseWritten(written);
+    session.responseSubmitted(written);
     return written;
   }
 
--- a/edge/src/main/java/edgegateway/node/connections/ClientConnection.java
+++ b/edge/src/main/java/edgegateway/node/connections/ClientConnection.java
@@ -16,8 +16,10 @@
     HANDSHAKING,
     /** No byte of the first request has arrived. */
     NEW,
-    /** Between requests. */
+    /** Between requests; the previous response is written to the socket. */
     IDLE,
+    /** Between requests; a part of the previous response is not written to the socket yet. */
+    FLUSHING,
     /** A request head is incomplete. */
     READING_HEAD,
     /** A request body is incomplete. */
@@ -38,8 +40,8 @@
   private State state;
 
   /**
-   * When the wait for the current request began: at the accept, at the end of the previous
-   * response, or at the first byte of a further request.
+   * When the wait for the current request began: at the accept, when the previous response was
+   * written, or at the first byte of a further request.
    */
   private long waitStartedAtNanos;
 
@@ -81,7 +83,12 @@
   }
 
   /** Whether no byte of a request has arrived since the accept or the last response. */
-  public boolean isIdle() {
+  public boolean awaitsRequest() {
+    return isIdle() || state == State.FLUSHING;
+  }
+
+  /** Whether the connection awaits a request and nothing is left to write to it. */
+  boolean isIdle() {
     return state == State.NEW || state == State.IDLE;
   }
 
@@ -104,10 +111,10 @@
   public void bytesReceived(long nowNanos, int bytes) {
     lastReceivedAtNanos = nowNanos;
     bodyBytes += bytes;
-    if (state == State.IDLE) {
+    if (state == State.IDLE || state == State.FLUSHING) {
       waitStartedAtNanos = nowNanos;
     }
-    if (isIdle()) {
+    if (awaitsRequest()) {
       enter(State.READING_HEAD);
     }
   }
@@ -124,13 +131,16 @@
     enter(State.IN_FLIGHT);
   }
 
-  /** Reports that the response is complete and the connection stays open. */
-  public void responseSent(long nowNanos) {
+  /**
+   * Reports that the response was passed to the channel completely and the connection stays open.
+   * The connection becomes idle only when its writes are complete.
+   */
+  public void responseSubmitted(long nowNanos) {
     responded = true;
     waitStartedAtNanos = nowNanos;
     lastReceivedAtNanos = nowNanos;
     bodyBytes = 0;
-    enter(State.IDLE);
+    enter(hasUnwrittenResponse() ? State.FLUSHING : State.IDLE);
   }
 
   /** Reports that the connection will be closed after the pending writes. */
@@ -160,6 +170,20 @@
   public void writeCompleted(long nowNanos) {
     pendingWrites--;
     lastWriteProgressAtNanos = nowNanos;
+    if (!hasUnwrittenResponse() && !closed) {
+      allResponsesWritten(nowNanos);
+    }
+  }
+
+  /** The wait for the next request begins now, even if a part of that request has arrived. */
+  private void allResponsesWritten(long nowNanos) {
+    if (state == State.FLUSHING) {
+      waitStartedAtNanos = nowNanos;
+      enter(State.IDLE);
+    } else if (state == State.READING_HEAD || state == State.READING_BODY) {
+      waitStartedAtNanos = nowNanos;
+      enter(state);
+    }
   }
 
   /** Reports that the client shut down its output while it waits for a response. */
@@ -253,7 +277,7 @@
     countState(-1);
     state = next;
     countState(1);
-    if (!overCapacity && isWithoutRequest(next)) {
+    if (!overCapacity && isWithoutRequest(next) && !hasUnwrittenResponse()) {
       peer.setEvictable(this);
       return;
     }
--- a/edge/src/main/java/edgegateway/node/connections/ClientConnectionTable.java
+++ b/edge/src/main/java/edgegateway/node/connections/ClientConnectionTable.java
@@ -231,7 +231,9 @@
       return true;
     }
     for (ClientConnection connection : overCapacity) {
-      if (connection.state() != State.IN_FLIGHT && connection.state() != State.CLOSING) {
+      if (connection.state() != State.IN_FLIGHT
+          && connection.state() != State.CLOSING
+          && !connection.hasUnwrittenResponse()) {
         connection.close(CloseReason.OVER_CAPACITY);
         return true;
       }
--- a/edge/src/main/java/edgegateway/node/connections/ClientTimeouts.java
+++ b/edge/src/main/java/edgegateway/node/connections/ClientTimeouts.java
@@ -53,8 +53,10 @@
 
   /** The timeout of this connection that has expired, as a close reason; null if none has. */
   CloseReason expired(ClientConnection connection, long nowNanos) {
-    if (connection.writeStalledNanos(nowNanos) > WRITE_STALL_TIMEOUT_NANOS) {
-      return CloseReason.RESPONSE_NOT_READ;
+    if (connection.hasUnwrittenResponse()) {
+      // Any other close would cut the response, whatever the client sends meanwhile.
+      boolean stalled = connection.writeStalledNanos(nowNanos) > WRITE_STALL_TIMEOUT_NANOS;
+      return stalled ? CloseReason.RESPONSE_NOT_READ : null;
     }
     State state = connection.state();
     if (connection.isOverCapacity()
@@ -74,7 +76,7 @@
           waitedNanos > headTimeoutNanos(connection) ? CloseReason.HEAD_TIMEOUT : null;
       case IDLE -> expiredWithoutRequest(waitedNanos, idleTimeoutNanos, CloseReason.IDLE_TIMEOUT);
       case READING_BODY -> isBodyTooSlow(connection, nowNanos) ? CloseReason.SLOW_BODY : null;
-      case IN_FLIGHT, CLOSING -> null;
+      case FLUSHING, IN_FLIGHT, CLOSING -> null;
     };
   }
 
--- /dev/null
+++ b/edge/src/test/java/edgegateway/node/UnwrittenResponseTest.java
@@ -0,0 +1,141 @@
+package edgegateway.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * Complete responses that the node has passed to the channel and that the socket has not accepted,
+ * because their client does not read yet. Nothing but the client's deadline and a lack of progress
+ * may end their connection.
+ */
+@Timeout(60)
+class UnwrittenResponseTest extends NodeTest {
+  /** Responses that are short enough to be buffered completely. */
+  private static final int RESPONSE_BYTES = 60_000;
+
+  /** Together more than the kernel buffers for one connection on loopback. */
+  private static final int RESPONSE_COUNT = 120;
+
+  private static final int CLIENT_BUFFER_BYTES = 64 << 10;
+
+  /** What happens to the connection while responses are unwritten. */
+  private interface Event {
+    void happen(EdgeNode node, Socket client) throws Exception;
+  }
+
+  private EdgeNode startNodeWithLimits(String connectionLimits) throws Exception {
+    String body = "x".repeat(RESPONSE_BYTES);
+    FakePeer server = peer(message -> message.answer(FakePeer.ok("", body)));
+    return startNode(
+        config(member("s-0", server.address(), "Ready", 0))
+            .replace("\"counter\"", "\"connections\":" + connectionLimits + ",\"counter\""));
+  }
+
+  private static long metric(EdgeNode node, String name) {
+    return Long.parseLong(
+        node.metrics.render().replaceAll("(?s).*app." + name + "=(\\d+)\n.*", "$1"));
+  }
+
+  /**
+   * Connects a client that has sent its requests one after the other, and read none of the
+   * responses, though each was passed to its channel completely.
+   */
+  private Socket clientBehindItsResponses(EdgeNode node) throws IOException {
+    Socket client = new Socket();
+    toClose.add(client);
+    client.setReceiveBufferSize(CLIENT_BUFFER_BYTES);
+    client.setSoTimeout(20_000);
+    InetSocketAddress address = node.address();
+    client.connect(new InetSocketAddress(address.getAddress(), address.getPort()));
+    for (int i = 1; i <= RESPONSE_COUNT; i++) {
+      sendRequest(client, "GET /api", headers("t-" + i, "lookup", "20000"), "");
+      while (metric(node, "handled.lookup.passed") < i) {
+        assertTrue(!Thread.interrupted(), node.metrics.render());
+      }
+    }
+    assertTrue(
+        metric(node, "connections.held_bytes") > RESPONSE_BYTES,
+        "the kernel accepted all responses, so the test proves nothing");
+    return client;
+  }
+
+  private static void assertAllResponsesArrive(Socket client) throws IOException {
+    for (int i = 1; i <= RESPONSE_COUNT; i++) {
+      FakePeer.Message response = FakePeer.read(client);
+      assertNotNull(response, "the connection ended before response " + i);
+      assertEquals("200", status(response));
+      assertEquals(RESPONSE_BYTES, response.body().length(), "bytes of response " + i);
+    }
+  }
+
+  private void assertNothingIsCutBy(Event event, String connectionLimits) throws Exception {
+    EdgeNode node = startNodeWithLimits(connectionLimits);
+    Socket client = clientBehindItsResponses(node);
+    event.happen(node, client);
+    assertAllResponsesArrive(client);
+    assertEquals(0, metric(node, "connections.responses_cut"));
+  }
+
+  /** Guards against a planned restart that cuts responses their clients are still reading. */
+  @Test
+  void stoppingTheNodeCutsNoResponse() throws Exception {
+    CompletableFuture<CompletableFuture<Void>> stopped = new CompletableFuture<>();
+    assertNothingIsCutBy(
+        (node, client) -> {
+          Socket idle = client(node);
+          assertEquals("200", exchangeOrder(idle, "t-idle"));
+          stopped.complete(node.stop());
+          assertNull(FakePeer.read(idle));
+        },
+        "{}");
+    // Nor does the process wait for a client that has its responses.
+    stopped.join().join();
+  }
+
+  /** Guards against an operator's drain that cuts responses their clients are still reading. */
+  @Test
+  void drainingTheNodeCutsNoResponse() throws Exception {
+    assertNothingIsCutBy(
+        (node, client) -> {
+          Socket idle = client(node);
+          assertEquals("200", exchangeOrder(idle, "t-idle"));
+          node.loop.submit(() -> node.clients.setDraining(true)).get();
+          assertNull(FakePeer.read(idle));
+        },
+        "{}");
+  }
+
+  /** Guards against an idle timeout that counts while the client is still reading. */
+  @Test
+  void theIdleTimeoutCutsNoResponse() throws Exception {
+    assertNothingIsCutBy(
+        (node, client) -> {
+          Socket idle = client(node);
+          assertEquals("200", exchangeOrder(idle, "t-idle"));
+          assertNull(FakePeer.read(idle));
+        },
+        "{\"idle-ms\":2000}");
+  }
+
+  /** Guards against a head timeout that cuts the response before an incomplete request. */
+  @Test
+  void anIncompleteRequestBehindAResponseDoesNotCutIt() throws Exception {
+    assertNothingIsCutBy(
+        (node, client) -> {
+          client.getOutputStream().write("GET /api HT".getBytes());
+          Socket other = client(node);
+          other.getOutputStream().write("GET /api HT".getBytes());
+          assertNull(FakePeer.read(other));
+        },
+        "{}");
+  }
+}
--- a/edge/src/test/java/edgegateway/node/connections/ClientConnectionTableTest.java
+++ b/edge/src/test/java/edgegateway/node/connections/ClientConnectionTableTest.java
@@ -40,6 +40,11 @@
     private boolean closed;
     private boolean busy;
 
+    /** Whether the client, and not the table, closes the connection. */
+    private boolean leaving;
+
+    private long writeStartedAt;
+
     FakeClient(int peer) {
       this.peer = peer;
       connection = table.accept(now, address(peer), false, this);
@@ -48,14 +53,36 @@
     void serve() {
       connection.headReceived(now);
       connection.requestReceived();
-      connection.responseSent(now);
+      connection.responseSubmitted(now);
+      idleSince = now;
+    }
+
+    /** Serves a request whose response is written only at {@link #completeWrite}. */
+    void serveUnwritten() {
+      connection.headReceived(now);
+      connection.requestReceived();
+      startWrite();
+      connection.responseSubmitted(now);
+    }
+
+    private void startWrite() {
+      connection.writeStarted(now);
+      writeStartedAt = now;
+    }
+
+    void completeWrite() {
+      connection.writeCompleted(now);
       idleSince = now;
     }
 
     @Override
     public void close() {
-      assertFalse(busy, "connection closed with a request in flight");
+      boolean stalled = connection.hasUnwrittenResponse() && now - writeStartedAt > 8_000 * MS;
+      assertFalse(busy && !stalled, "connection closed with a request in flight");
       assertFalse(closed, "closed twice");
+      assertTrue(
+          leaving || stalled || !connection.hasUnwrittenResponse(),
+          "closed with an unwritten response");
       closed = true;
       closedClients.add(this);
       if (metricValues().get("evicted") > evictedCount) {
@@ -222,8 +249,7 @@
     FakeClient body = new FakeClient(3);
     body.connection.headReceived(now);
     FakeClient unread = new FakeClient(4);
-    unread.serve();
-    unread.connection.writeStarted(now);
+    unread.serveUnwritten();
     FakeClient idle = new FakeClient(5);
     idle.serve();
     FakeClient alsoIdle = new FakeClient(6);
@@ -350,7 +376,7 @@
       client.connection.requestReceived();
       client.busy = i < 15;
       if (!client.busy) {
-        client.connection.responseSent(now);
+        client.connection.responseSubmitted(now);
       }
     }
     advance(2_001);
@@ -360,7 +386,7 @@
     assertTrue(
         all.get(0).connection.shouldCloseAfterResponse(), "the response announces the close");
     all.get(0).busy = false;
-    all.get(0).connection.responseSent(now);
+    all.get(0).connection.responseSubmitted(now);
     advance(2_001);
     table.enforceTimeouts(now);
     advance(1);
@@ -394,9 +420,45 @@
         "the capacity has recovered, so this is a first report again");
   }
 
+  /** Guards against closes that cut the last response, such as those of a drain (review/2). */
+  @Test
+  void aConnectionWithAnUnwrittenResponseIsNotIdle() {
+    applyBudget(2, 4);
+    FakeClient unwritten = new FakeClient(1);
+    unwritten.serveUnwritten();
+    FakeClient behind = new FakeClient(1);
+    behind.serveUnwritten();
+    behind.connection.bytesReceived(now, 0);
+    advance(3_000);
+    new FakeClient(2);
+    advance(0);
+    table.setDraining(true);
+    table.closeIdleConnections();
+    for (int i = 0; i < 20; i++) {
+      advance(200);
+      table.enforceTimeouts(now);
+      assertFalse(unwritten.closed || behind.closed, "closed at step " + i);
+    }
+    assertEquals(0L, metricValues().get("responses_cut"));
+    unwritten.completeWrite();
+    behind.completeWrite();
+    for (int i = 0; i < 3; i++) {
+      advance(200);
+      table.enforceTimeouts(now);
+    }
+    assertFalse(unwritten.closed, "closed before the drain's grace period");
+    advance(200);
+    table.enforceTimeouts(now);
+    assertTrue(unwritten.closed, "kept in a drain though its response was written");
+    assertFalse(behind.closed, "closed within its head timeout");
+    advance(2_000);
+    table.enforceTimeouts(now);
+    assertTrue(behind.closed, "kept though its next request stays incomplete");
+  }
+
   /**
-   * Random sequences of events: limits hold, no request in flight is closed, no connection is
-   * evicted too early, and all connections are removed at the end.
+   * Random sequences of events: limits hold, no request in flight and no unwritten response is
+   * closed, no connection is evicted too early, and all connections are removed at the end.
    */
   @Test
   void invariantsHoldForManySeeds() {
@@ -429,7 +491,7 @@
       open.removeIf(client -> client.closed);
       if (!open.isEmpty()) {
         FakeClient client = open.get(random.nextInt(open.size()));
-        switch (random.nextInt(5)) {
+        switch (random.nextInt(6)) {
           case 0 -> client.connection.bytesReceived(now, 0);
           case 1 -> {
             if (!client.busy) {
@@ -441,12 +503,21 @@
           case 2, 3 -> {
             if (client.busy) {
               client.busy = false;
-              client.connection.responseSent(now);
+              if (!client.connection.hasUnwrittenResponse() && random.nextBoolean()) {
+                client.startWrite();
+              }
+              client.connection.responseSubmitted(now);
               client.idleSince = now;
             }
           }
+          case 4 -> {
+            if (client.connection.hasUnwrittenResponse()) {
+              client.completeWrite();
+            }
+          }
           default -> {
             client.busy = false;
+            client.leaving = true;
             client.close();
           }
         }
@@ -465,6 +536,7 @@
     for (FakeClient client : List.copyOf(open)) {
       if (!client.closed) {
         client.busy = false;
+        client.leaving = true;
         client.close();
       }
     }
--- a/edge/src/test/java/edgegateway/node/connections/ClientTimeoutsTest.java
+++ b/edge/src/test/java/edgegateway/node/connections/ClientTimeoutsTest.java
@@ -50,7 +50,7 @@
     assertExpiresAfter(connection, 1_500, CloseReason.HANDSHAKE_TIMEOUT);
     connection.handshakeCompleted();
     assertExpiresAfter(connection, 2_800, CloseReason.HEAD_TIMEOUT);
-    connection.responseSent(START_NANOS);
+    connection.responseSubmitted(START_NANOS);
     connection.bytesReceived(START_NANOS, 10);
     assertExpiresAfter(connection, 2_400, CloseReason.HEAD_TIMEOUT);
   }
@@ -82,7 +82,7 @@
   @Test
   void anIdleConnectionExpiresSoonerInADrain() {
     ClientConnection connection = accept(false);
-    connection.responseSent(START_NANOS);
+    connection.responseSubmitted(START_NANOS);
     assertExpiresAfter(connection, 75_000, CloseReason.IDLE_TIMEOUT);
     timeouts.setDraining(true);
     assertExpiresAfter(connection, 600, CloseReason.DRAINED);
