Let earlier responses out before a connection ends for its client's input

Callers saw: a client that ends its sending and goes on reading lost the part of its responses that Netty had not written yet; so did one whose next request was incomplete or broke. Change: closeWhenWritten ends what is in flight at once and closes the socket when the last complete response is written; 8 s without progress and the client's deadline still bound it.

--- a/edge/src/main/java/edgegateway/node/clients/ClientResponseWriter.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientResponseWriter.java
@@ -102,7 +102,7 @@
       // A regular close would mark the truncated body as complete.
       session.reset(CloseReason.RESPONSE_INCOMPLETE);
     } else {
-      session.close(CloseReason.RESPONSE_INCOMPLETE);
+      session.closeWhenWritten(CloseReason.RESPONSE_INCOMPLETE);
     }
   }
 
--- a/edge/src/main/java/edgegateway/node/clients/ClientSession.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientSession.java
@@ -63,6 +63,9 @@
   /** Run if the client disconnects while its response is streamed; null if none is streamed. */
   private Runnable onClientDisconnect;
 
+  /** The last write of the previous response; null before the first response. */
+  private ChannelFuture lastResponseWrite;
+
   /** Whether the connection is closing, so that all further input is ignored. */
   private boolean closing;
 
@@ -97,8 +100,21 @@
     channel.close();
   }
 
-  /** Closes the socket for a reason other than the connection table's. */
-  void close(CloseReason reason) {
+  /**
+   * Ends the request in flight and all further ones at once, and closes the socket when the
+   * complete responses to earlier requests are written. See UnwrittenResponseTest.
+   */
+  void closeWhenWritten(CloseReason reason) {
+    if (!connection.hasUnwrittenResponse()) {
+      close(reason);
+      return;
+    }
+    discardRequests();
+    connection.closing();
+    lastResponseWrite.addListener(written -> close(reason));
+  }
+
+  private void close(CloseReason reason) {
     connection.closedBy(reason);
     channel.close();
   }
@@ -181,11 +197,14 @@
     boolean uploadPending = upload != null && !upload.isComplete();
     boolean requestComplete = current != null && !uploadPending || !pipelined.isEmpty();
     boolean uploadTruncated = uploadPending && !pipelined.hasEndOfBody();
-    if (!requestComplete || uploadTruncated) {
-      close(CloseReason.INPUT_ENDED);
+    boolean responseOwed = requestComplete && !uploadTruncated;
+    if (responseOwed || connection.hasUnwrittenResponse()) {
+      connection.halfClosed();
+    }
+    if (!responseOwed) {
+      closeWhenWritten(CloseReason.INPUT_ENDED);
       return;
     }
-    connection.halfClosed();
     if (persistence.isHttp10() && awaitsResponse()) {
       // An HTTP/1.0 client supports no interim responses, so it cannot be probed.
       context.handler().clientPossiblyDisconnected(current);
@@ -402,6 +421,7 @@
    * @param lastWrite completes when the response is written
    */
   void responseSubmitted(ChannelFuture lastWrite) {
+    lastResponseWrite = lastWrite;
     closing =
         persistence.isCloseAnnounced() || context.server().isDraining() && pipelined.isEmpty();
     current = null;
@@ -443,7 +463,7 @@
     }
     if (current == null && pipelined.isEmpty() && inputEnded && !closing) {
       // The input ended within a request.
-      close(CloseReason.INPUT_ENDED);
+      closeWhenWritten(CloseReason.INPUT_ENDED);
     }
   }
 
@@ -453,13 +473,14 @@
       connection.closed();
       context.server().connectionRemoved();
     }
-    pipelined.release();
-    incoming.release();
-    reportDisconnect();
+    discardRequests();
     context.server().sessionEnded();
   }
 
-  private void reportDisconnect() {
+  /** Discards what was received and reports that the request in flight gets no response. */
+  private void discardRequests() {
+    pipelined.release();
+    incoming.release();
     InFlightRequest request = current;
     RequestBodyUpload openUpload = upload;
     Runnable onDisconnect = endStreaming();
--- a/edge/src/main/java/edgegateway/node/clients/RequestBodyUpload.java
+++ b/edge/src/main/java/edgegateway/node/clients/RequestBodyUpload.java
@@ -110,7 +110,7 @@
   void forward(HttpObject message) {
     receivedBytes += PipelinedMessages.contentBytes(message);
     if (message.decoderResult().isFailure() || receivedBytes > MAX_BODY_BYTES) {
-      session.close(CloseReason.INVALID_BODY);
+      session.closeWhenWritten(CloseReason.INVALID_BODY);
       return;
     }
     if (!forwardingStarted) {
--- a/edge/src/test/java/edgegateway/node/UnwrittenResponseTest.java
+++ b/edge/src/test/java/edgegateway/node/UnwrittenResponseTest.java
@@ -34,12 +34,21 @@
 
   private EdgeNode startNodeWithLimits(String connectionLimits) throws Exception {
     String body = "x".repeat(RESPONSE_BYTES);
-    FakePeer server = peer(message -> message.answer(FakePeer.ok("", body)));
+    FakePeer server = peer(message -> answer(message, body));
     return startNode(
         config(member("s-0", server.address(), "Ready", 0))
             .replace("\"counter\"", "\"connections\":" + connectionLimits + ",\"counter\""));
   }
 
+  private static void answer(FakePeer.Message request, String body) throws IOException {
+    if (!request.startLine().contains("?cut")) {
+      request.answer(FakePeer.ok("", body));
+      return;
+    }
+    request.answer("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + "x".repeat(100_000));
+    request.socket().close();
+  }
+
   private static long metric(EdgeNode node, String name) {
     return Long.parseLong(
         node.metrics.render().replaceAll("(?s).*app." + name + "=(\\d+)\n.*", "$1"));
@@ -138,4 +147,61 @@
         },
         "{}");
   }
+
+  /** Guards against taking the end of the client's input for its leaving while it still reads. */
+  @Test
+  void aHalfClosedClientGetsTheResponsesThatAreNotWritten() throws Exception {
+    assertNothingIsCutBy(
+        (node, client) -> {
+          client.shutdownOutput();
+          awaitInputEnd(node);
+        },
+        "{}");
+  }
+
+  /** Guards against an incomplete last request that costs the client its earlier responses. */
+  @Test
+  void aHalfCloseWithinARequestDoesNotCutTheResponsesBefore() throws Exception {
+    assertNothingIsCutBy(
+        (node, client) -> {
+          client
+              .getOutputStream()
+              .write("POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\nha".getBytes());
+          client.shutdownOutput();
+          awaitInputEnd(node);
+        },
+        "{}");
+  }
+
+  /** Guards against a response that fails on its way and takes the ones before it along. */
+  @Test
+  void aLaterResponseThatFailsDoesNotCutTheOnesBefore() throws Exception {
+    assertNothingIsCutBy(
+        (node, client) -> {
+          sendRequest(client, "GET /api?cut", headers("t-cut", "lookup", "20000"), "");
+          while (metric(node, "handled.lookup.bad_gateway") < 1) {
+            assertTrue(!Thread.interrupted(), node.metrics.render());
+          }
+        },
+        "{}");
+  }
+
+  private static void awaitInputEnd(EdgeNode node) {
+    while (metric(node, "connections.input_ended") == 0
+        && metric(node, "connections.half_closed") == 0) {
+      assertTrue(!Thread.interrupted(), node.metrics.render());
+    }
+  }
+
+  /** Guards against a client that leaves and keeps its connection and what was held for it. */
+  @Test
+  void aClientThatLeavesFreesWhatItsResponsesHeld() throws Exception {
+    EdgeNode node = startNodeWithLimits("{}");
+    Socket client = clientBehindItsResponses(node);
+    client.close();
+    while (metric(node, "connections.held_bytes") > 0 || metric(node, "connections.open") > 0) {
+      assertTrue(!Thread.interrupted(), node.metrics.render());
+    }
+    assertEquals(0, metric(node, "in_progress"));
+  }
 }
