Close a connection whose input ended during a streamed response with its end

Callers saw: nothing; the node kept the connection and its descriptor for the idle timeout (75 s). Cause: whether to close was decided when the response's head was written; a half-close after that was not looked at again, and an idle connection whose input has ended gives no further event. Change: a response after which no further request can come is the last one, also where that is known only at its end. Measured: the test read on for 5 s without an end before, passes now; ClientSessionTest and UnwrittenResponseTest pass (all of the module's tests are run before the landing).

--- a/edge/src/main/java/edgegateway/node/clients/ClientSession.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientSession.java
@@ -423,7 +423,8 @@
   void responseSubmitted(ChannelFuture lastWrite) {
     lastResponseWrite = lastWrite;
     closing =
-        persistence.isCloseAnnounced() || context.server().isDraining() && pipelined.isEmpty();
+        persistence.isCloseAnnounced()
+            || (context.server().isDraining() || inputEnded) && pipelined.isEmpty();
     current = null;
     upload = null;
     onClientDisconnect = null;
--- a/edge/src/test/java/edgegateway/node/UnwrittenResponseTest.java
+++ b/edge/src/test/java/edgegateway/node/UnwrittenResponseTest.java
@@ -193,6 +193,30 @@
     }
   }
 
+  /** Guards against a connection that rests for the idle timeout though its client is gone. */
+  @Test
+  void aConnectionHalfClosedDuringAStreamedResponseEndsWithIt() throws Exception {
+    CompletableFuture<Void> halfClosed = new CompletableFuture<>();
+    FakePeer server =
+        peer(
+            message -> {
+              message.answer("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n");
+              message.answer("x".repeat(100_000));
+              halfClosed.join();
+              message.answer("x".repeat(100_000));
+            });
+    EdgeNode node = startNode(server);
+    Socket client = client(node);
+    sendRequest(client, "GET /api", headers("t-1", "lookup", "20000"), "");
+    client.setSoTimeout(5_000);
+    byte[] firstPart = client.getInputStream().readNBytes(50_000);
+    client.shutdownOutput();
+    awaitInputEnd(node);
+    halfClosed.complete(null);
+    byte[] rest = client.getInputStream().readAllBytes();
+    assertTrue(firstPart.length + rest.length > 200_000, "bytes after the first: " + rest.length);
+  }
+
   /** Guards against a client that leaves and keeps its connection and what was held for it. */
   @Test
   void aClientThatLeavesFreesWhatItsResponsesHeld() throws Exception {
