Release a response whose last chunk starts its streaming to a client that left

Cause: the chunk that makes a response too long to buffer was also its last one; the connection was closed for the missing client, and the response still marked as complete, so finish ran without an attempt and threw before the buffer was released. Change: such a response is discarded at once, and only a response with an attempt is complete.

--- a/edge/src/main/java/edgegateway/node/upstream/UpstreamConnectionHandler.java
+++ b/edge/src/main/java/edgegateway/node/upstream/UpstreamConnectionHandler.java
@@ -119,7 +119,7 @@
         && response != null
         && attempt != null) {
       bodyReceived(content.content());
-      responseComplete = content instanceof LastHttpContent;
+      responseComplete = attempt != null && content instanceof LastHttpContent;
     }
   }
 
@@ -171,7 +171,7 @@
 
   /**
    * Starts to stream the response to the client. From then on, no other attempt can replace the
-   * current one.
+   * current one. If the client has disconnected, ends the attempt and discards the response.
    *
    * @param contentLength the declared length of the body in bytes; -1 if there is none
    */
@@ -188,7 +188,7 @@
                 channel::close);
     if (client == null) {
       streamedAttempt.cancel();
-      channel.close();
+      fail();
       return;
     }
     streamedAttempt.responseStreamingStarted();
--- a/edge/src/test/java/edgegateway/node/UnwrittenResponseTest.java
+++ b/edge/src/test/java/edgegateway/node/UnwrittenResponseTest.java
@@ -228,4 +228,42 @@
     }
     assertEquals(0, metric(node, "in_progress"));
   }
+
+  /**
+   * Guards against responses to clients that have left which are never released, so that in the end
+   * every request with a body is rejected. The lengths make any byte the last one of a read.
+   */
+  @Test
+  void responsesToClientsThatHaveLeftHoldNothing() throws Exception {
+    CompletableFuture<Void> clientsLeft = new CompletableFuture<>();
+    FakePeer server =
+        peer(
+            message -> {
+              clientsLeft.join();
+              int length = 64_000 + 500 * Integer.parseInt(message.headers().get("x-trace-id"));
+              message.answer(FakePeer.ok("", "x".repeat(length)));
+            });
+    String[] members = new String[40];
+    for (int i = 0; i < members.length; i++) {
+      members[i] = member("s-" + i, server.address(), "Ready", 0);
+    }
+    EdgeNode node = startNode(config(members));
+    int count = 64;
+    for (int i = 0; i < count; i++) {
+      Socket client = client(node);
+      sendRequest(client, "GET /api", headers(Integer.toString(i), "lookup", "20000"), "");
+      server.next();
+      client.close();
+    }
+    while (metric(node, "connections.open") > 0) {
+      assertTrue(!Thread.interrupted(), node.metrics.render());
+    }
+    clientsLeft.complete(null);
+    Socket present = client(node);
+    sendRequest(present, "GET /api", headers("100", "lookup", "20000"), "");
+    assertEquals(114_000, FakePeer.read(present).body().length());
+    while (metric(node, "in_progress") > 0 || metric(node, "connections.held_bytes") > 0) {
+      assertTrue(!Thread.interrupted(), node.metrics.render());
+    }
+  }
 }
--- a/edge/src/test/java/edgegateway/node/upstream/UpstreamConnectionHandlerTest.java
+++ b/edge/src/test/java/edgegateway/node/upstream/UpstreamConnectionHandlerTest.java
@@ -30,7 +30,9 @@
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
@@ -240,6 +242,30 @@
     assertFalse(channel.isActive());
   }
 
+  /**
+   * Guards against held bytes that are never released, until every request with a body is rejected:
+   * the last bytes of a response start the streaming to a client that is gone.
+   */
+  @Test
+  void aCompleteLongResponseToADisconnectedClientIsReleased() {
+    for (int length = 65_000; length <= 66_000; length += 100) {
+      UpstreamConnectionHandlerTest test = new UpstreamConnectionHandlerTest();
+      test.send("t-1");
+      test.receive(okResponse("x".repeat(length)));
+      boolean streamed = test.results.get(0).equals("t-1 forwarded " + length);
+      assertEquals(length > UpstreamPool.MAX_BUFFERED_RESPONSE_BYTES, streamed, "length " + length);
+      assertEquals(!streamed, test.channel.isActive(), "length " + length);
+      assertEquals(0L, test.heldBytes(), "length " + length);
+      test.channel.checkException();
+    }
+  }
+
+  private long heldBytes() {
+    Map<String, Long> values = new HashMap<>();
+    connectionMetrics.forEach(values::put);
+    return values.get("held_bytes");
+  }
+
   /** A client that is known to be connected and ignores every response. */
   private static final class ConnectedClient implements InFlightRequest.ResponseWriter {
     @Override
