Count a long body against the shared limit until it is written

Change: ended relays count until their last write is complete; running ones share what is left, at least 8 KiB each.

--- a/edge/src/main/java/edgegateway/node/requests/BodyRelay.java
+++ b/edge/src/main/java/edgegateway/node/requests/BodyRelay.java
@@ -13,8 +13,9 @@
 /**
  * Forwards one long body from a source channel to a sink channel. To apply backpressure, the source
  * is read only while the bytes in flight to the sink stay below a limit. The relays of a node share
- * a total limit evenly, so that a slow peer does not block the relays of others. Not thread-safe:
- * used on the event loop's thread only.
+ * a total limit evenly, so that a slow peer does not block the relays of others. A body that was
+ * received completely counts until it is written. Not thread-safe: used on the event loop's thread
+ * only.
  */
 public final class BodyRelay {
   /** Memory that each chunk of a body takes in addition to its content. */
@@ -57,7 +58,11 @@
   private void chunkWritten(int chunkBytes) {
     bytesInFlight -= chunkBytes;
     lastProgressNanos = System.nanoTime();
-    readIfBelowLimit();
+    if (ended) {
+      group.endedRelayWritten(this, chunkBytes);
+    } else {
+      readIfBelowLimit();
+    }
   }
 
   /**
@@ -79,8 +84,10 @@
 
   /** Ends the relay: the body is complete, or its source or sink is closed. Idempotent. */
   public void end() {
-    ended = true;
-    group.ended(this);
+    if (!ended) {
+      ended = true;
+      group.ended(this);
+    }
   }
 
   private boolean isStalled(long now) {
@@ -97,7 +104,7 @@
     stalled.pipeline().fireExceptionCaught(new IOException("no progress in forwarding the body"));
   }
 
-  /** The running relays of a node, which share one limit on the bytes in flight. */
+  /** The relays of a node, which share one limit on the bytes in flight. */
   public static final class Group {
     /**
      * Part of the 32 MB of buffer memory; the rest is for completely buffered bodies and for reads.
@@ -111,6 +118,11 @@
 
     private final Set<BodyRelay> running = new LinkedHashSet<>();
 
+    /** Relays that have ended, and of whose bytes some are not written to the sink yet. */
+    private final Set<BodyRelay> flushing = new LinkedHashSet<>();
+
+    private int flushingBytes;
+
     /** Starts the periodic check for stalled relays. */
     public Group(EventLoop loop) {
       loop.scheduleAtFixedRate(
@@ -133,11 +145,24 @@
 
     private void ended(BodyRelay relay) {
       running.remove(relay);
+      if (relay.bytesInFlight > 0) {
+        flushing.add(relay);
+        flushingBytes += relay.bytesInFlight;
+      }
+    }
+
+    private void endedRelayWritten(BodyRelay relay, int writtenBytes) {
+      flushingBytes -= writtenBytes;
+      if (relay.bytesInFlight == 0) {
+        flushing.remove(relay);
+      }
     }
 
     private int maxBytesPerRelay() {
-      int evenShareBytes = MAX_BYTES_IN_FLIGHT / Math.max(1, running.size());
-      return Math.max(MIN_BYTES_PER_RELAY, Math.min(MAX_BYTES_PER_RELAY, evenShareBytes));
+      int evenShareBytes = MAX_BYTES_IN_FLIGHT / Math.max(1, running.size() + flushing.size());
+      int remainingBytes = MAX_BYTES_IN_FLIGHT - flushingBytes;
+      int availableBytes = Math.min(evenShareBytes, remainingBytes / Math.max(1, running.size()));
+      return Math.max(MIN_BYTES_PER_RELAY, Math.min(MAX_BYTES_PER_RELAY, availableBytes));
     }
 
     private void abortStalled() {
