Move the assembling of requests from ClientSession to RequestReceiver

Cause: ClientSession had grown to 509 lines with two jobs, the state of a connection and the assembling of its requests. Measured: UnwrittenResponseTest, ClientSessionTest, EdgeNodeTest and ArchitectureTest pass.

--- a/edge/src/main/java/edgegateway/node/clients/ClientSession.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientSession.java
@@ -8,8 +8,6 @@
 import edgegateway.node.connections.TransportHandle;
 import edgegateway.node.logging.EventLog;
 import edgegateway.node.requests.InFlightRequest;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -18,15 +16,8 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.CodecException;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.ssl.SslCloseCompletionEvent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
@@ -34,8 +25,8 @@
 /**
  * The last handler in the pipeline of a client's connection. It receives decoded messages and has
  * one request in flight at a time, in the order of their arrival. Messages after that request wait
- * in {@link PipelinedMessages}; {@link ResponseSender} writes the responses. Not thread-safe: used
- * on the event loop's thread only.
+ * in {@link PipelinedMessages}; {@link RequestReceiver} turns them into requests and {@link
+ * ResponseSender} writes the responses. Not thread-safe: used on the event loop's thread only.
  */
 final class ClientSession extends SimpleChannelInboundHandler<HttpObject>
     implements TransportHandle {
@@ -44,11 +35,11 @@
 
   private final ClientSessionContext context;
   private final StrictRequestDecoder decoder;
-  private final IncomingRequest incoming = new IncomingRequest();
   private final ConnectionPersistence persistence = new ConnectionPersistence();
   private final PipelinedMessages pipelined;
   private Channel channel;
   private ResponseSender responses;
+  private RequestReceiver receiver;
   private ClientPresenceCheck presence;
 
   /** Null if the connection table was full when the connection was opened. */
@@ -86,6 +77,7 @@
             .connections()
             .accept(System.nanoTime(), channel.remoteAddress(), context.tls(), this);
     responses = new ResponseSender(this, channel, connection, persistence);
+    receiver = new RequestReceiver(this, channel, connection, responses, persistence, context);
     presence = new ClientPresenceCheck(this, channel, responses, persistence, context);
     if (connection == null) {
       closing = true;
@@ -138,7 +130,7 @@
     if (isForwardingUpload()) {
       upload.forward(message);
     } else if (current == null && pipelined.isEmpty()) {
-      receive(message);
+      receiver.receive(message);
     } else {
       pipelined.add(ReferenceCountUtil.retain(message));
       if (updateAndCheckReadAheadFull()) {
@@ -213,122 +205,13 @@
     presence.probeAfterHalfClose();
   }
 
-  private void receive(HttpObject message) {
-    if (message.decoderResult().isFailure()) {
-      persistence.closeAfterResponse();
-      responses.sendText(HttpResponseStatus.BAD_REQUEST, "this is no request that can be read");
-      return;
-    }
-    if (message instanceof HttpRequest request) {
-      receiveHead(request);
-    }
-    if (message instanceof HttpContent content && incoming.isActive()) {
-      receiveBody(content.content(), content instanceof LastHttpContent);
-    }
+  /** Takes over the upload of the request that is about to be accepted; null for none. */
+  void uploadBegins(RequestBodyUpload next) {
+    upload = next;
   }
 
-  private void receiveHead(HttpRequest request) {
-    connection.headReceived(System.nanoTime());
-    long customer = context.parser().customerOrUnknown(request);
-    incoming.begin(request, context.bufferedBodies().newBody(customer));
-    persistence.requestReceived(request);
-    String expectation = request.headers().get(HttpHeaderNames.EXPECT);
-    if (HttpUtil.getContentLength(request, 0L) > RequestBodyUpload.MAX_BODY_BYTES) {
-      persistence.closeAfterResponse();
-      responses.sendText(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long");
-    } else if (expectation != null
-        && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expectation)) {
-      persistence.closeAfterResponse();
-      responses.sendText(HttpResponseStatus.EXPECTATION_FAILED, "no such expectation");
-    } else if (connection.isOverCapacity() && !isHealthCheck(request)) {
-      rejectOverCapacity();
-    } else if (HttpUtil.is100ContinueExpected(request)) {
-      responses.sendContinue();
-    }
-  }
-
-  private static boolean isHealthCheck(HttpRequest request) {
-    return request.uri().equals(RequestParser.HEALTH_PATH);
-  }
-
-  /**
-   * Rejects the request that is being received, before it is complete, because there is no capacity
-   * for its connection or its body.
-   */
-  private void rejectOverCapacity() {
-    persistence.closeAfterResponse();
-    try {
-      InFlightRequest rejected =
-          context
-              .parser()
-              .parse(
-                  incoming.head(),
-                  Unpooled.EMPTY_BUFFER,
-                  incoming.bufferedBytes(),
-                  null,
-                  newResponseWriter());
-      current = rejected;
-      if (!context.handler().rejectOverCapacity(rejected)) {
-        current = null;
-        responses.sendText(HttpResponseStatus.CONFLICT, DUPLICATE_ID);
-      }
-    } catch (BadRequestException e) {
-      responses.sendText(e.status(), e.getMessage());
-    }
-  }
-
-  private void receiveBody(ByteBuf chunk, boolean last) {
-    connection.bytesReceived(System.nanoTime(), chunk.readableBytes());
-    if (!incoming.append(chunk, last, channel.alloc())) {
-      rejectOverCapacity();
-      return;
-    }
-    if (last || incoming.isTooLongToBuffer()) {
-      requestReceived(last);
-    }
-  }
-
-  /**
-   * Handles a request that is complete, or whose body is too long to be buffered completely.
-   *
-   * @param complete whether the end of the body was received
-   */
-  private void requestReceived(boolean complete) {
-    HttpRequest head = incoming.head();
-    ByteBuf body = incoming.body();
-    BufferedBodies.Body bufferedBytes = incoming.bufferedBytes();
-    incoming.detach();
-    connection.requestReceived();
-    try {
-      if (isHealthCheck(head) && complete) {
-        bufferedBytes.release();
-        answerHealthCheck(head.method());
-      } else {
-        upload = complete ? null : newUpload(HttpUtil.getContentLength(head, -1L));
-        accept(
-            context
-                .parser()
-                .parse(head, body.retain(), bufferedBytes, upload, newResponseWriter()));
-      }
-    } catch (BadRequestException e) {
-      body.release();
-      bufferedBytes.release();
-      responses.sendText(e.status(), e.getMessage());
-    } finally {
-      body.release();
-    }
-  }
-
-  private RequestBodyUpload newUpload(long contentLength) {
-    return new RequestBodyUpload(
-        this, channel, pipelined, context, contentLength, incoming.receivedBytes());
-  }
-
-  private ClientResponseWriter newResponseWriter() {
-    return new ClientResponseWriter(this, channel, responses, presence, context);
-  }
-
-  private void accept(InFlightRequest request) {
+  /** Passes a request that was received to the handler, which will answer it. */
+  void accept(InFlightRequest request) {
     current = request;
     if (upload != null) {
       upload.requestAccepted(request);
@@ -340,16 +223,23 @@
     }
   }
 
-  private void answerHealthCheck(HttpMethod method) {
-    if (!method.equals(HttpMethod.GET)) {
-      responses.sendText(HttpResponseStatus.METHOD_NOT_ALLOWED, "GET only");
-    } else if (context.handler().healthy()) {
-      responses.sendText(HttpResponseStatus.OK, "");
-    } else {
-      responses.sendText(HttpResponseStatus.SERVICE_UNAVAILABLE, "");
+  /** Has the handler reject a request, because there is no capacity for it. */
+  void rejectOverCapacity(InFlightRequest request) {
+    current = request;
+    if (!context.handler().rejectOverCapacity(request)) {
+      current = null;
+      responses.sendText(HttpResponseStatus.CONFLICT, DUPLICATE_ID);
     }
   }
 
+  ClientResponseWriter newResponseWriter() {
+    return new ClientResponseWriter(this, channel, responses, presence, context);
+  }
+
+  RequestBodyUpload newUpload(long contentLength, long receivedBytes) {
+    return new RequestBodyUpload(this, channel, pipelined, context, contentLength, receivedBytes);
+  }
+
   /** The request in flight; null if there is none. */
   InFlightRequest currentRequest() {
     return current;
@@ -367,17 +257,17 @@
 
   /** Whether a request is being received that is not in flight yet. */
   boolean isReceivingRequest() {
-    return incoming.isActive();
+    return receiver.isReceiving();
   }
 
   /** Whether the current request was received completely. */
   boolean isRequestComplete() {
-    return !incoming.isActive() && (upload == null || upload.isComplete());
+    return !receiver.isReceiving() && (upload == null || upload.isComplete());
   }
 
   /** Whether no request is in flight, being received or queued. */
   boolean isWithoutRequest() {
-    return current == null && !incoming.isActive() && pipelined.isEmpty();
+    return current == null && !receiver.isReceiving() && pipelined.isEmpty();
   }
 
   /** Whether the connection is to close after the current response. */
@@ -429,7 +319,7 @@
     upload = null;
     onClientDisconnect = null;
     presence.requestEnded();
-    incoming.release();
+    receiver.release();
     if (closing) {
       connection.closing();
       lastWrite.addListener(done -> closeAfterLastResponse(done.isSuccess()));
@@ -454,7 +344,7 @@
     while (!pipelined.isEmpty() && !closing && current == null) {
       HttpObject message = pipelined.poll();
       try {
-        receive(message);
+        receiver.receive(message);
       } finally {
         ReferenceCountUtil.release(message);
       }
@@ -481,7 +371,7 @@
   /** Discards what was received and reports that the request in flight gets no response. */
   private void discardRequests() {
     pipelined.release();
-    incoming.release();
+    receiver.release();
     InFlightRequest request = current;
     RequestBodyUpload openUpload = upload;
     Runnable onDisconnect = endStreaming();
