Ask a client for its presence if reading paused right after an event-loop stall

Cause: a client counted as present for 50 ms from the moment in which reading paused; after a stall the data read then is as old as the stall, and the end of the connection lies behind data that is not read. Change: after a recent stall that moment proves nothing, and the client is probed before the attempt.

--- a/edge/src/main/java/edgegateway/node/clients/ClientPresenceCheck.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientPresenceCheck.java
@@ -73,9 +73,14 @@
     loop = context.loop();
   }
 
-  /** Reading of the connection stops now; until now, a disconnect would have been detected. */
+  /**
+   * Reading of the connection stops now. Until now, a disconnect would have been detected, unless
+   * the event loop stalled recently: then it may be behind the data that was just read.
+   */
   void readingStopped() {
-    lastKnownPresentNanos = System.nanoTime();
+    long now = System.nanoTime();
+    boolean present = stallDetector.noRecentStall(now);
+    lastKnownPresentNanos = present ? now : now - PRESENCE_VALID_NANOS - 1;
   }
 
   /** Resets the number of probes after the response to a request. */
--- a/edge/src/test/java/edgegateway/node/ClientDisconnectTest.java
+++ b/edge/src/test/java/edgegateway/node/ClientDisconnectTest.java
@@ -170,6 +170,40 @@
     }
   }
 
+  /**
+   * Guards against an attempt for a client that disconnected during a stall, behind so much further
+   * input that the node reads only a part of it after the stall.
+   */
+  @Test
+  void noAttemptStartsForAClientThatDisconnectedBeforeReadingPaused() throws Exception {
+    CompletableFuture<Void> responsePermit = new CompletableFuture<>();
+    FakePeer server =
+        peer(
+            m -> {
+              responsePermit.join();
+              m.answer(FakePeer.ok("", "held"));
+            });
+    EdgeNode node = startWithSingleConnection(server);
+    Socket first = client(node);
+    sendOrder(first, "t-1");
+    server.next();
+    Socket second = client(node);
+    send(second, "t-gone", ClientInput.SINGLE_REQUEST);
+    awaitMetric(node, "app.in_progress=2");
+    CompletableFuture<Void> stallEnd = new CompletableFuture<>();
+    node.loop.execute(stallEnd::join);
+    send(second, "t-more", ClientInput.MANY_PIPELINED);
+    awaitDetectionTime(disconnect(second, false));
+    responsePermit.complete(null);
+    stallEnd.complete(null);
+    assertEquals("held", FakePeer.read(first).body());
+    awaitMetric(node, "app.in_progress=0");
+    Socket third = client(node);
+    sendOrder(third, "t-3");
+    assertEquals("held", FakePeer.read(third).body());
+    recordUnlessExpected(server.next(), "t-3", ClientInput.MANY_PIPELINED, false);
+  }
+
   /** The connection that the attempt waits for becomes free after the client disconnected. */
   @Test
   void noAttemptStartsOnAConnectionFreedAfterTheClientDisconnected() throws Exception {
