--- a/edge/src/test/java/edgegateway/node/UnwrittenResponseSoakTest.java
+++ b/edge/src/test/java/edgegateway/node/UnwrittenResponseSoakTest.java
@@ -8,6 +8,7 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -109,6 +110,8 @@
       String result;
       try (Socket socket = connect()) {
         result = exchange(socket, id, behavior, random);
+      } catch (SocketTimeoutException e) {
+        result = "no answer and no end";
       } catch (IOException | InterruptedException e) {
         // A connection that ends before the head of its response is no cut response.
         result = null;
@@ -124,7 +127,8 @@
   private Socket connect() throws IOException {
     Socket socket = new Socket();
     socket.setReceiveBufferSize(64 << 10);
-    socket.setSoTimeout(20_000);
+    // Longer than the deadline of the requests.
+    socket.setSoTimeout(25_000);
     InetSocketAddress address = node.address();
     socket.connect(new InetSocketAddress(address.getAddress(), address.getPort()));
     return socket;
