--- a/edge/src/main/java/edgegateway/node/lifecycle/EventLoopStallDetector.java
+++ b/edge/src/main/java/edgegateway/node/lifecycle/EventLoopStallDetector.java
@@ -3,10 +3,11 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Detects stalls of the event loop by a gap between the firings of a periodic timer. Right after a
- * stall, data that arrived meanwhile may be unread, and what is known of a client's presence is as
- * old as the stall was long. All times are nanoseconds of the same clock. Not thread-safe: used on
- * the event loop's thread only.
+ * Detects stalls of the event loop by a gap between the firings of a periodic timer. A process
+ * stops for a garbage collection, for SIGSTOP, or on a machine with too few free cores. Right after
+ * a stall, data that arrived meanwhile may be unread, and what is known of a client's presence is
+ * as old as the stall was long. All times are nanoseconds of the same clock. Not thread-safe: used
+ * on the event loop's thread only.
  */
 public final class EventLoopStallDetector {
   /** A longer gap between two firings is a stall; the policy's timer fires every 10 ms. */
