--- a/edge/src/main/java/edgegateway/node/connections/ConnectionMetrics.java
+++ b/edge/src/main/java/edgegateway/node/connections/ConnectionMetrics.java
@@ -27,7 +27,7 @@
     DRAINED("drain"),
     /** Accepted over capacity, but no request arrived in time to be rejected. */
     OVER_CAPACITY("timed_out.crowded"),
-    /** The client's input ended within a request, or between requests. */
+    /** The client closed or shut down its output, and is owed no further response. */
     INPUT_ENDED("input_ended"),
     /** A streamed request body was invalid or too long. */
     INVALID_BODY("invalid_body"),
