Derive from the pending writes whether a client's connection is idle

Cause: read again: the state FLUSHING said what the count of pending writes says already, so two facts had to agree. Change: one state between requests; idle is between requests with no response unwritten.

--- a/edge/src/main/java/edgegateway/node/connections/ClientConnection.java
+++ b/edge/src/main/java/edgegateway/node/connections/ClientConnection.java
@@ -16,10 +16,8 @@
     HANDSHAKING,
     /** No byte of the first request has arrived. */
     NEW,
-    /** Between requests; the previous response is written to the socket. */
-    IDLE,
-    /** Between requests; a part of the previous response is not written to the socket yet. */
-    FLUSHING,
+    /** Between requests; the previous response may not be written to the socket yet. */
+    BETWEEN_REQUESTS,
     /** A request head is incomplete. */
     READING_HEAD,
     /** A request body is incomplete. */
@@ -84,12 +82,12 @@
 
   /** Whether no byte of a request has arrived since the accept or the last response. */
   public boolean awaitsRequest() {
-    return isIdle() || state == State.FLUSHING;
+    return state == State.NEW || state == State.BETWEEN_REQUESTS;
   }
 
   /** Whether the connection awaits a request and nothing is left to write to it. */
   boolean isIdle() {
-    return state == State.NEW || state == State.IDLE;
+    return awaitsRequest() && !hasUnwrittenResponse();
   }
 
   /**
@@ -111,7 +109,7 @@
   public void bytesReceived(long nowNanos, int bytes) {
     lastReceivedAtNanos = nowNanos;
     bodyBytes += bytes;
-    if (state == State.IDLE || state == State.FLUSHING) {
+    if (state == State.BETWEEN_REQUESTS) {
       waitStartedAtNanos = nowNanos;
     }
     if (awaitsRequest()) {
@@ -140,7 +138,7 @@
     waitStartedAtNanos = nowNanos;
     lastReceivedAtNanos = nowNanos;
     bodyBytes = 0;
-    enter(hasUnwrittenResponse() ? State.FLUSHING : State.IDLE);
+    enter(State.BETWEEN_REQUESTS);
   }
 
   /** Reports that the connection will be closed after the pending writes. */
@@ -177,10 +175,7 @@
 
   /** The wait for the next request begins now, even if a part of that request has arrived. */
   private void allResponsesWritten(long nowNanos) {
-    if (state == State.FLUSHING) {
-      waitStartedAtNanos = nowNanos;
-      enter(State.IDLE);
-    } else if (state == State.READING_HEAD || state == State.READING_BODY) {
+    if (isWithoutRequest(state) || state == State.READING_BODY) {
       waitStartedAtNanos = nowNanos;
       enter(state);
     }
@@ -290,7 +285,7 @@
   }
 
   private static boolean isWithoutRequest(State state) {
-    return state == State.NEW || state == State.IDLE || state == State.READING_HEAD;
+    return state == State.NEW || state == State.BETWEEN_REQUESTS || state == State.READING_HEAD;
   }
 
   private void countState(int change) {
@@ -305,6 +300,6 @@
     if (state == State.HANDSHAKING) {
       return metrics.handshaking;
     }
-    return state != null && isIdle() ? metrics.clientsIdle : null;
+    return state != null && awaitsRequest() ? metrics.clientsIdle : null;
   }
 }
--- a/edge/src/main/java/edgegateway/node/connections/ClientTimeouts.java
+++ b/edge/src/main/java/edgegateway/node/connections/ClientTimeouts.java
@@ -74,9 +74,10 @@
               waitedNanos, headTimeoutNanos(connection), CloseReason.HEAD_TIMEOUT);
       case READING_HEAD ->
           waitedNanos > headTimeoutNanos(connection) ? CloseReason.HEAD_TIMEOUT : null;
-      case IDLE -> expiredWithoutRequest(waitedNanos, idleTimeoutNanos, CloseReason.IDLE_TIMEOUT);
+      case BETWEEN_REQUESTS ->
+          expiredWithoutRequest(waitedNanos, idleTimeoutNanos, CloseReason.IDLE_TIMEOUT);
       case READING_BODY -> isBodyTooSlow(connection, nowNanos) ? CloseReason.SLOW_BODY : null;
-      case FLUSHING, IN_FLIGHT, CLOSING -> null;
+      case IN_FLIGHT, CLOSING -> null;
     };
   }
 
