RequestReceiver: begin an upload by one call of the session instead of two

Cause: read again: the upload was made by one call and handed back by another right after. Change: beginUpload does both; the session's field is null before, as each response and each end resets it. Measured: UnwrittenResponseTest, ClientSessionTest and EdgeNodeTest pass.

--- a/edge/src/main/java/edgegateway/node/clients/ClientSession.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientSession.java
@@ -205,11 +205,6 @@
     presence.probeAfterHalfClose();
   }
 
-  /** Takes over the upload of the request that is about to be accepted; null for none. */
-  void uploadBegins(RequestBodyUpload next) {
-    upload = next;
-  }
-
   /** Passes a request that was received to the handler, which will answer it. */
   void accept(InFlightRequest request) {
     current = request;
@@ -236,8 +231,10 @@
     return new ClientResponseWriter(this, channel, responses, presence, context);
   }
 
-  RequestBodyUpload newUpload(long contentLength, long receivedBytes) {
-    return new RequestBodyUpload(this, channel, pipelined, context, contentLength, receivedBytes);
+  /** Begins the upload of the request that is about to be accepted. */
+  RequestBodyUpload beginUpload(long contentLength, long receivedBytes) {
+    upload = new RequestBodyUpload(this, channel, pipelined, context, contentLength, receivedBytes);
+    return upload;
   }
 
   /** The request in flight; null if there is none. */
--- a/edge/src/main/java/edgegateway/node/clients/RequestReceiver.java
+++ b/edge/src/main/java/edgegateway/node/clients/RequestReceiver.java
@@ -143,8 +143,7 @@
         bufferedBytes.release();
         answerHealthCheck(head.method());
       } else {
-        RequestBodyUpload upload = complete ? null : newUpload(head);
-        session.uploadBegins(upload);
+        RequestBodyUpload upload = complete ? null : beginUpload(head);
         session.accept(
             context
                 .parser()
@@ -159,8 +158,8 @@
     }
   }
 
-  private RequestBodyUpload newUpload(HttpRequest head) {
-    return session.newUpload(HttpUtil.getContentLength(head, -1L), incoming.receivedBytes());
+  private RequestBodyUpload beginUpload(HttpRequest head) {
+    return session.beginUpload(HttpUtil.getContentLength(head, -1L), incoming.receivedBytes());
   }
 
   private void answerHealthCheck(HttpMethod method) {
