--- a/edge/src/test/java/edgegateway/node/NodeTest.java
+++ b/edge/src/test/java/edgegateway/node/NodeTest.java
@@ -5,6 +5,7 @@
 
 import edgegateway.node.config.NodeConfigParser;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 
@@ -22,6 +24,8 @@
   private static final String WATCH_WITHOUT_CHANGES =
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
 
+  private static final int SMALL_BUFFER_BYTES = 64 << 10;
+
   /** Closed after each test, last added first. */
   final List<AutoCloseable> toClose = new ArrayList<>();
 
@@ -64,6 +68,18 @@
         + "}";
   }
 
+  /**
+   * The server as 40 members, since the balancing policy limits the attempts in flight for each
+   * member.
+   */
+  static String[] asManyMembers(FakePeer server) {
+    String[] members = new String[40];
+    for (int i = 0; i < members.length; i++) {
+      members[i] = member("s-" + i, server.address(), "Ready", 0);
+    }
+    return members;
+  }
+
   /** The configuration {@code node.json} with the test's peers and the given endpoint list. */
   String config(String... members) throws IOException {
     return Files.readString(Path.of("src/test/resources/node.json"))
@@ -72,6 +88,19 @@
         .replace("MEMBERS", String.join(",", members));
   }
 
+  /**
+   * Starts a server that answers each request with the same body.
+   *
+   * @param permit completed when it may answer
+   */
+  FakePeer peerAnsweringAfter(CompletableFuture<Void> permit, String body) throws IOException {
+    return peer(
+        message -> {
+          permit.join();
+          message.answer(FakePeer.ok("", body));
+        });
+  }
+
   /** Starts a node whose configured endpoint list holds the given servers. */
   EdgeNode startNode(FakePeer... servers) throws Exception {
     String[] members = new String[servers.length];
@@ -145,6 +174,46 @@
     return socket;
   }
 
+  /** The value of a metric; {@code name} without the prefix {@code app.}. */
+  static long metric(EdgeNode node, String name) {
+    for (String line : node.metrics.render().split("\n")) {
+      if (line.startsWith("app." + name + "=")) {
+        return Long.parseLong(line.substring(line.indexOf('=') + 1));
+      }
+    }
+    throw new AssertionError("no metric " + name);
+  }
+
+  /** Waits until a metric has the value. */
+  static void awaitMetric(EdgeNode node, String name, long value) throws InterruptedException {
+    while (metric(node, name) != value) {
+      Thread.sleep(5);
+    }
+  }
+
+  /** Connects a client whose system holds little that it has not read. */
+  static Socket connectWithSmallBuffer(EdgeNode node, int readTimeoutMillis) throws IOException {
+    Socket client = new Socket();
+    client.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+    client.setSoTimeout(readTimeoutMillis);
+    InetSocketAddress address = node.address();
+    client.connect(new InetSocketAddress(address.getAddress(), address.getPort()));
+    return client;
+  }
+
+  /** Reads to the end of a message's head; null if the connection ends before. */
+  static String readHead(InputStream in) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int b = in.read();
+      if (b < 0) {
+        return null;
+      }
+      head.append((char) b);
+    }
+    return head.toString();
+  }
+
   /** The headers of a valid request with the given trace id, class and time to its deadline. */
   static Map<String, String> headers(String traceId, String requestClass, String expiresInMillis) {
     Map<String, String> headers =
