RaceConditionsTest: empty the accept queue only after the retry's connect

Cause, traced: the metric that the test waits for is counted before Netty queues the connect, so one empty task could run before it; the test then emptied the accept queue, and the retry connected 204 ms after the first send, inside the window of 400 ms, where it may be sent. The test, not the program, was wrong. Change: a second task, which runs behind the queued connect. Assertions, window and times are the same.

--- a/edge/src/test/java/edgegateway/node/RaceConditionsTest.java
+++ b/edge/src/test/java/edgegateway/node/RaceConditionsTest.java
@@ -213,7 +213,9 @@
     first.setSoLinger(true, 0);
     first.close();
     awaitMetric(node, "app.connections.archive_servers.opened=2");
-    // Waits for the end of the event-loop iteration in which the connection attempt began.
+    // The first task ends after the one that counted the connection attempt, the second after the
+    // connect, which that one queued: only then the accept queue may be emptied.
+    node.loop.submit(() -> {}).get();
     node.loop.submit(() -> {}).get();
     for (int i = 0; i < queuedConnections; i++) {
       server.accept();
