ClientDisconnectTest: one set-up for a client that waits for the only connection

Cause: the case added for a pause behind a stall was the third copy of ten lines of set-up and of the check of the next request. Change: OccupiedServer holds them; every assertion is the same.

--- a/edge/src/test/java/edgegateway/node/ClientDisconnectTest.java
+++ b/edge/src/test/java/edgegateway/node/ClientDisconnectTest.java
@@ -170,33 +170,55 @@
     }
   }
 
+  /** An archive server whose only connection waits for the response to a first request. */
+  private final class OccupiedServer {
+    private final CompletableFuture<Void> responsePermit = new CompletableFuture<>();
+    private final FakePeer server = peerAnsweringAfter(responsePermit, "held");
+    private final EdgeNode node = startWithSingleConnection(server);
+    private final Socket first = client(node);
+
+    OccupiedServer() throws Exception {
+      sendOrder(first, "t-1");
+      server.next();
+    }
+
+    /** Connects a client whose request waits for the connection. */
+    Socket clientWaitingWith(String id, ClientInput input) throws IOException {
+      Socket waiting = client(node);
+      send(waiting, id, input);
+      awaitMetric(node, "app.in_progress=2");
+      return waiting;
+    }
+
+    /**
+     * Checks, once the connection is free, that the next request on it is a further client's and
+     * not that of the client that disconnected.
+     */
+    void checkNextRequestIsNotThatOf(ClientInput input, boolean reset) throws Exception {
+      assertEquals("held", FakePeer.read(first).body());
+      awaitMetric(node, "app.in_progress=0");
+      Socket third = client(node);
+      sendOrder(third, "t-3");
+      assertEquals("held", FakePeer.read(third).body());
+      recordUnlessExpected(server.next(), "t-3", input, reset);
+    }
+  }
+
   /**
    * Guards against an attempt for a client that disconnected during a stall, behind so much further
    * input that the node reads only a part of it after the stall.
    */
   @Test
   void noAttemptStartsForAClientThatDisconnectedBeforeReadingPaused() throws Exception {
-    CompletableFuture<Void> responsePermit = new CompletableFuture<>();
-    FakePeer server = peerAnsweringAfter(responsePermit, "held");
-    EdgeNode node = startWithSingleConnection(server);
-    Socket first = client(node);
-    sendOrder(first, "t-1");
-    server.next();
-    Socket second = client(node);
-    send(second, "t-gone", ClientInput.SINGLE_REQUEST);
-    awaitMetric(node, "app.in_progress=2");
+    OccupiedServer occupied = new OccupiedServer();
+    Socket second = occupied.clientWaitingWith("t-gone", ClientInput.SINGLE_REQUEST);
     CompletableFuture<Void> stallEnd = new CompletableFuture<>();
-    node.loop.execute(stallEnd::join);
+    occupied.node.loop.execute(stallEnd::join);
     send(second, "t-more", ClientInput.MANY_PIPELINED);
     awaitDetectionTime(disconnect(second, false));
-    responsePermit.complete(null);
+    occupied.responsePermit.complete(null);
     stallEnd.complete(null);
-    assertEquals("held", FakePeer.read(first).body());
-    awaitMetric(node, "app.in_progress=0");
-    Socket third = client(node);
-    sendOrder(third, "t-3");
-    assertEquals("held", FakePeer.read(third).body());
-    recordUnlessExpected(server.next(), "t-3", ClientInput.MANY_PIPELINED, false);
+    occupied.checkNextRequestIsNotThatOf(ClientInput.MANY_PIPELINED, false);
   }
 
   /** The connection that the attempt waits for becomes free after the client disconnected. */
@@ -204,23 +226,11 @@
   void noAttemptStartsOnAConnectionFreedAfterTheClientDisconnected() throws Exception {
     for (ClientInput input : ClientInput.values()) {
       for (boolean reset : new boolean[] {false, true}) {
-        CompletableFuture<Void> responsePermit = new CompletableFuture<>();
-        FakePeer server = peerAnsweringAfter(responsePermit, "held");
-        EdgeNode node = startWithSingleConnection(server);
-        Socket first = client(node);
-        sendOrder(first, "t-1");
-        server.next();
-        Socket second = client(node);
-        send(second, "t-gone", input);
-        awaitMetric(node, "app.in_progress=2");
+        OccupiedServer occupied = new OccupiedServer();
+        Socket second = occupied.clientWaitingWith("t-gone", input);
         awaitDetectionTime(disconnect(second, reset));
-        responsePermit.complete(null);
-        assertEquals("held", FakePeer.read(first).body());
-        awaitMetric(node, "app.in_progress=0");
-        Socket third = client(node);
-        sendOrder(third, "t-3");
-        assertEquals("held", FakePeer.read(third).body());
-        recordUnlessExpected(server.next(), "t-3", input, reset);
+        occupied.responsePermit.complete(null);
+        occupied.checkNextRequestIsNotThatOf(input, reset);
       }
     }
   }
@@ -457,19 +467,12 @@
    */
   @Test
   void anHttp10ClientIsRejectedInsteadOfForwardedWhileReadingIsPaused() throws Exception {
-    CompletableFuture<Void> responsePermit = new CompletableFuture<>();
-    FakePeer server = peerAnsweringAfter(responsePermit, "held");
-    EdgeNode node = startWithSingleConnection(server);
-    Socket first = client(node);
-    sendOrder(first, "t-1");
-    server.next();
-    Socket second = client(node);
-    send(second, "t-2", ClientInput.HTTP_1_0_LONG_BODY);
-    awaitMetric(node, "app.in_progress=2");
+    OccupiedServer occupied = new OccupiedServer();
+    Socket second = occupied.clientWaitingWith("t-2", ClientInput.HTTP_1_0_LONG_BODY);
     awaitDetectionTime(System.nanoTime());
-    responsePermit.complete(null);
-    assertEquals("held", FakePeer.read(first).body());
+    occupied.responsePermit.complete(null);
+    assertEquals("held", FakePeer.read(occupied.first).body());
     assertEquals("503", status(FakePeer.read(second)));
-    assertTrue(server.received.isEmpty());
+    assertTrue(occupied.server.received.isEmpty());
   }
 }
