Limit the header fields of a request, so that short fields do not fill the heap

Callers saw: a node ended by itself with "OutOfMemoryError: Java heap space" (exit status 3) while hundreds of clients sent heads of very many short fields; all connections of sound clients were reset. Cause: the decoder limits a head by its length (8 KiB) alone. A field of 4 bytes takes some 150 bytes of heap (entry, name, value), so an incomplete head of 1,300 fields held 300 KB; 500 connections exceed the 48 MB heap. Change: at most 64 fields a head and 64 trailers; more is a malformed message, which gets 400 and a close.

--- a/edge/src/main/java/edgegateway/node/clients/StrictRequestDecoder.java
+++ b/edge/src/main/java/edgegateway/node/clients/StrictRequestDecoder.java
@@ -7,11 +7,16 @@
 /**
  * Decodes requests. Unlike Netty's decoder, it rejects a request with both a {@code Content-Length}
  * and chunked transfer encoding, because another HTTP implementation on the path might see the end
- * of the request elsewhere (request smuggling).
+ * of the request elsewhere (request smuggling), and one with more than {@link
+ * BoundedHeaders#MAX_FIELDS} header fields.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
   StrictRequestDecoder(int maxChunkSize) {
-    super(new HttpDecoderConfig().setMaxChunkSize(maxChunkSize));
+    super(
+        new HttpDecoderConfig()
+            .setMaxChunkSize(maxChunkSize)
+            .setHeadersFactory(BoundedHeaders.FACTORY)
+            .setTrailersFactory(BoundedHeaders.TRAILERS_FACTORY));
   }
 
   /** Whether received bytes are waiting for the rest of an HTTP message. */
