Share the event loop among connections that pipeline requests

Callers saw: while one client sent small or unsound requests on one connection at full speed, the others got their answers seconds late or never; if it read no responses, the process ended by OutOfMemoryError. Cause: all messages of up to 16 reads of 64 KB were decoded and handled in one turn of the event loop, some 25,000 requests where each is answered at once, and the responses went to the channel however many were unwritten. While 64 responses of a connection are unwritten its further requests wait. Kept chunks below 4 KB are copied, as each would keep the whole read buffer allocated.

--- a/edge/src/main/java/edgegateway/node/clients/ClientHttpServer.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientHttpServer.java
@@ -90,6 +90,7 @@
             connections,
             bufferedBodies,
             relays,
+            new PipelineScheduler(loop),
             stallDetector,
             loop,
             tls != null);
@@ -150,6 +151,7 @@
   private void addHandlers(Channel channel) {
     StrictRequestDecoder decoder = newDecoder();
     ClientSession session = new ClientSession(sessionContext, decoder);
+    channel.config().setRecvByteBufAllocator(new ClientReadBuffers(session::isReceivingBody));
     ChannelPipeline pipeline = channel.pipeline();
     if (tls != null) {
       pipeline.addLast(tls.newHandshakeGate(session::handshakeCompleted));
--- a/edge/src/main/java/edgegateway/node/clients/ClientSession.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientSession.java
@@ -33,6 +33,12 @@
   private static final EventLog LOG = EventLog.console();
   private static final String DUPLICATE_ID = "a request of this id is open";
 
+  /**
+   * Further requests of a client wait while this many of its responses are unwritten, since most
+   * responses are too short to be counted as buffered.
+   */
+  private static final int MAX_UNWRITTEN_RESPONSES = 64;
+
   private final ClientSessionContext context;
   private final StrictRequestDecoder decoder;
   private final ConnectionPersistence persistence = new ConnectionPersistence();
@@ -63,6 +69,15 @@
   /** Whether the client's input ended, by a half-close or a close of the connection. */
   private boolean inputEnded;
 
+  /** Whether the messages of a read of the connection are being handled. */
+  private boolean inRead;
+
+  /** Whether a response was submitted during the current read of the connection. */
+  private boolean respondedInRead;
+
+  /** Whether a turn of the {@link PipelineScheduler} is pending. */
+  private boolean awaitsTurn;
+
   ClientSession(ClientSessionContext context, StrictRequestDecoder decoder) {
     this.context = context;
     this.decoder = decoder;
@@ -127,18 +142,28 @@
     if (closing) {
       return;
     }
+    inRead = true;
     if (isForwardingUpload()) {
       upload.forward(message);
-    } else if (current == null && pipelined.isEmpty()) {
+    } else if (mayReceiveAtOnce()) {
       receiver.receive(message);
     } else {
-      pipelined.add(ReferenceCountUtil.retain(message));
+      pipelined.add(ReferenceCountUtil.retain(message), System.nanoTime());
       if (updateAndCheckReadAheadFull()) {
         stopReading();
       }
     }
   }
 
+  /**
+   * Whether the next message is handled while it is read. A client that does not read its responses
+   * gets no further ones, and one that pipelines requests gets one response a read, so that neither
+   * takes memory without limit nor the event loop from the others.
+   */
+  private boolean mayReceiveAtOnce() {
+    return current == null && pipelined.isEmpty() && !respondedInRead && mayRespond();
+  }
+
   private boolean isForwardingUpload() {
     return upload != null && upload.isForwarding();
   }
@@ -168,6 +193,28 @@
     } else if (!closing && connection.awaitsRequest() && decoder.hasUndecodedBytes()) {
       connection.bytesReceived(System.nanoTime(), 0);
     }
+    inRead = false;
+    respondedInRead = false;
+    requestTurn();
+  }
+
+  /** Whether the client has read enough of its responses to get a further one. */
+  private boolean mayRespond() {
+    return connection.unwrittenResponses() < MAX_UNWRITTEN_RESPONSES;
+  }
+
+  /** Has the queued messages handled in turn with other connections, if they may be handled. */
+  private void requestTurn() {
+    if (!awaitsTurn && !closing && current == null && !pipelined.isEmpty() && mayRespond()) {
+      awaitsTurn = true;
+      context.pipelineScheduler().add(this::takeTurn);
+    }
+  }
+
+  private void takeTurn() {
+    awaitsTurn = false;
+    receivePipelined();
+    requestTurn();
   }
 
   @Override
@@ -257,6 +304,11 @@
     return receiver.isReceiving();
   }
 
+  /** Whether the bytes that the client sends next belong to the body of a request. */
+  boolean isReceivingBody() {
+    return receiver.isReceiving() || upload != null && !upload.isComplete();
+  }
+
   /** Whether the current request was received completely. */
   boolean isRequestComplete() {
     return !receiver.isReceiving() && (upload == null || upload.isComplete());
@@ -324,7 +376,11 @@
     }
     connection.responseSubmitted(System.nanoTime());
     lastWrite.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
-    if (!pipelined.isEmpty() || !channel.config().isAutoRead()) {
+    lastWrite.addListener(done -> requestTurn());
+    respondedInRead = inRead;
+    if (!pipelined.isEmpty()) {
+      requestTurn();
+    } else if (!channel.config().isAutoRead()) {
       context.loop().execute(this::receivePipelined);
     }
   }
@@ -337,8 +393,14 @@
     }
   }
 
+  /** Handles queued messages up to the end of one request. */
   private void receivePipelined() {
-    while (!pipelined.isEmpty() && !closing && current == null) {
+    ChannelFuture previousResponse = lastResponseWrite;
+    while (!pipelined.isEmpty()
+        && !closing
+        && current == null
+        && lastResponseWrite == previousResponse
+        && mayRespond()) {
       HttpObject message = pipelined.poll();
       try {
         receiver.receive(message);
--- a/edge/src/main/java/edgegateway/node/clients/ClientSessionContext.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientSessionContext.java
@@ -17,6 +17,7 @@
  * @param connections the table of the clients' connections
  * @param bufferedBodies limits the memory for buffered bodies
  * @param relays the relays of streamed bodies
+ * @param pipelineScheduler shares the event loop among connections with pipelined requests
  * @param stallDetector detects stalls of the event loop, during which no socket is read
  * @param loop the event loop that runs the sessions
  * @param tls whether the clients' connections are encrypted
@@ -29,6 +30,7 @@
     ClientConnectionTable connections,
     BufferedBodies bufferedBodies,
     BodyRelay.Group relays,
+    PipelineScheduler pipelineScheduler,
     EventLoopStallDetector stallDetector,
     EventLoop loop,
     boolean tls) {
--- a/edge/src/main/java/edgegateway/node/clients/PipelinedMessages.java
+++ b/edge/src/main/java/edgegateway/node/clients/PipelinedMessages.java
@@ -1,6 +1,8 @@
 package edgegateway.node.clients;
 
 import edgegateway.node.connections.BufferedBodies;
+import edgegateway.node.requests.BodyChunks;
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -30,8 +32,10 @@
    */
   private static final int OVERHEAD_BYTES = 128;
 
+  private record QueuedMessage(HttpObject message, long sentAtNanos) {}
+
   private final BufferedBodies bufferedBodies;
-  private final ArrayDeque<HttpObject> queue = new ArrayDeque<>();
+  private final ArrayDeque<QueuedMessage> queue = new ArrayDeque<>();
   private int queuedBytes;
 
   /** The account that the queue's bytes are counted in; null while the queue is not counted. */
@@ -45,10 +49,31 @@
     return queue.isEmpty();
   }
 
-  /** Adds a message and takes ownership of its reference. */
-  void add(HttpObject message) {
-    queue.add(message);
-    queuedBytes += memoryBytes(message);
+  /**
+   * Adds a message and takes ownership of its reference.
+   *
+   * @param sentAtNanos the earliest time at which the client can have sent it
+   */
+  void add(HttpObject message, long sentAtNanos) {
+    HttpObject compact = message instanceof HttpContent content ? compact(content) : message;
+    queue.add(new QueuedMessage(compact, sentAtNanos));
+    queuedBytes += memoryBytes(compact);
+  }
+
+  /** Takes ownership of the message; the caller owns the result. */
+  private static HttpContent compact(HttpContent message) {
+    ByteBuf content = BodyChunks.compact(message.content());
+    if (content == message.content()) {
+      return message;
+    }
+    HttpContent compact = message.replace(content);
+    compact.setDecoderResult(message.decoderResult());
+    return compact;
+  }
+
+  /** The earliest time at which the client can have sent the oldest message. */
+  long oldestSentAtNanos() {
+    return queue.element().sentAtNanos;
   }
 
   /**
@@ -56,17 +81,18 @@
    * queue is empty.
    */
   HttpObject poll() {
-    HttpObject message = queue.poll();
-    if (message != null) {
-      queuedBytes -= memoryBytes(message);
+    QueuedMessage oldest = queue.poll();
+    if (oldest == null) {
+      return null;
     }
-    return message;
+    queuedBytes -= memoryBytes(oldest.message);
+    return oldest.message;
   }
 
   /** Whether the queue contains the end of a body. */
   boolean hasEndOfBody() {
-    for (HttpObject message : queue) {
-      if (message instanceof LastHttpContent) {
+    for (QueuedMessage queued : queue) {
+      if (queued.message instanceof LastHttpContent) {
         return true;
       }
     }
@@ -107,7 +133,8 @@
     return message instanceof HttpContent content ? content.content().readableBytes() : 0;
   }
 
-  private static int memoryBytes(HttpObject message) {
+  /** The memory that a message takes, in bytes; an estimate. */
+  static int memoryBytes(HttpObject message) {
     int bytes = OVERHEAD_BYTES + contentBytes(message);
     if (message instanceof HttpRequest request) {
       bytes += request.uri().length();
--- a/edge/src/main/java/edgegateway/node/connections/ClientConnection.java
+++ b/edge/src/main/java/edgegateway/node/connections/ClientConnection.java
@@ -210,6 +210,11 @@
     }
   }
 
+  /** The number of complete responses of which a part has not been written to the socket. */
+  public int unwrittenResponses() {
+    return pendingWrites;
+  }
+
   /** Whether a part of a complete response has not been written to the socket. */
   public boolean hasUnwrittenResponse() {
     return pendingWrites > 0;
--- a/edge/src/test/java/edgegateway/node/clients/ClientSessionTest.java
+++ b/edge/src/test/java/edgegateway/node/clients/ClientSessionTest.java
@@ -16,18 +16,24 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** Tests the requests and responses of one client connection, without a socket. */
 class ClientSessionTest {
@@ -110,6 +116,7 @@
         connections,
         bufferedBodies,
         new BodyRelay.Group(loop),
+        new PipelineScheduler(loop),
         new EventLoopStallDetector(System.nanoTime()),
         loop,
         false);
@@ -227,4 +234,28 @@
     respond(0, "done");
     assertNull(handler.accepted.get(0).claimResponse());
   }
+
+  @Test
+  @Timeout(30)
+  void aClientThatDoesNotReadItsResponsesGetsNoFurtherOnes() {
+    handler.duplicate = true;
+    List<ChannelPromise> unwritten = new ArrayList<>();
+    ChannelOutboundHandlerAdapter blockedSocket =
+        new ChannelOutboundHandlerAdapter() {
+          @Override
+          public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            ReferenceCountUtil.release(message);
+            unwritten.add(promise);
+          }
+        };
+    channel.pipeline().addFirst(blockedSocket);
+    for (int i = 0; i < 100; i++) {
+      receive(request("t-" + i, ""));
+    }
+    assertEquals(64, unwritten.size());
+    unwritten.forEach(promise -> promise.setSuccess());
+    while (unwritten.size() < 100) {
+      channel.runPendingTasks();
+    }
+  }
 }
--- a/edge/src/test/java/edgegateway/node/clients/PipelinedMessagesTest.java
+++ b/edge/src/test/java/edgegateway/node/clients/PipelinedMessagesTest.java
@@ -50,9 +50,9 @@
   @Test
   void returnsMessagesInTheOrderOfArrival() {
     HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api");
-    messages.add(head);
+    messages.add(head, 0);
     assertFalse(messages.hasEndOfBody());
-    messages.add(LastHttpContent.EMPTY_LAST_CONTENT);
+    messages.add(LastHttpContent.EMPTY_LAST_CONTENT, 0);
     assertTrue(messages.hasEndOfBody());
     assertSame(head, messages.poll());
     assertSame(LastHttpContent.EMPTY_LAST_CONTENT, messages.poll());
@@ -62,14 +62,14 @@
 
   @Test
   void countsNothingUpToTheThreshold() {
-    messages.add(chunk(4 * 1024 - OVERHEAD_BYTES));
+    messages.add(chunk(4 * 1024 - OVERHEAD_BYTES), 0);
     assertFalse(messages.updateAndCheckReadAheadFull(CUSTOMER));
     assertEquals(0, bufferedBytes());
   }
 
   @Test
   void countsAllBytesAboveTheThresholdAndNoneOnceTheQueueIsEmpty() {
-    messages.add(chunk(4 * 1024));
+    messages.add(chunk(4 * 1024), 0);
     assertFalse(
         messages.updateAndCheckReadAheadFull(CUSTOMER),
         "reading continues while more than half of the capacity is free");
@@ -83,7 +83,7 @@
   void countsTheHeadersOfAHead() {
     HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api");
     head.headers().set("Name", "x".repeat(4 * 1024));
-    messages.add(head);
+    messages.add(head, 0);
     messages.updateAndCheckReadAheadFull(CUSTOMER);
     assertEquals(
         2 * OVERHEAD_BYTES + "/api".length() + "Name".length() + 4 * 1024, bufferedBytes());
@@ -91,27 +91,27 @@
 
   @Test
   void stopsReadingAboveTheReadAheadLimit() {
-    messages.add(chunk(128 * 1024 - OVERHEAD_BYTES));
+    messages.add(chunk(128 * 1024 - OVERHEAD_BYTES), 0);
     assertFalse(messages.updateAndCheckReadAheadFull(CUSTOMER));
-    messages.add(chunk(0));
+    messages.add(chunk(0), 0);
     assertTrue(messages.updateAndCheckReadAheadFull(CUSTOMER));
   }
 
   @Test
   void stopsReadingWhileHalfOfTheCapacityIsUsed() {
     bufferedBodies.newBody(8).resize(CAPACITY_BYTES / 2);
-    messages.add(chunk(1_024));
+    messages.add(chunk(1_024), 0);
     assertFalse(
         messages.updateAndCheckReadAheadFull(CUSTOMER),
         "a queue below the counting threshold never stops reading");
-    messages.add(chunk(4 * 1024));
+    messages.add(chunk(4 * 1024), 0);
     assertTrue(messages.updateAndCheckReadAheadFull(CUSTOMER));
   }
 
   @Test
   void releasesAllQueuedMessages() {
     HttpContent chunk = chunk(8 * 1024);
-    messages.add(chunk);
+    messages.add(chunk, 0);
     messages.updateAndCheckReadAheadFull(CUSTOMER);
     messages.release();
     assertEquals(0, chunk.refCnt());
