Count a client's time from when it may have sent its request, read or not

Callers saw: where a server read a large request slowly or not at all, the final answer came up to 3.6 s after its time or never; pipelined requests got their time anew, so that servers were told more time than was left. Cause (class): what the node had read was taken for what the client had sent. A long body that the server does not take stays in the sockets' buffers unread; the deadline began only when its last byte was read, and while it was not, no deadline applied but 8 s without progress. The same for messages queued behind a request, for a client that stops within a long body (8 s where 3 s are owed), and for "the client is read, so its leaving would have been seen" where unread bytes lie before the end of the connection. Evidence: one process, server that stops reading, 5 and 7 MB, 0.6 and 0.8 s to wait: answers 8.4 s late; read at 100 kB/s: 8.4 s. Change: InputBacklog records since when bytes may lie unread (a read that filled its buffer, a pause of reading; cleared when a read or the selector finds the socket empty). Deadlines, the time passed on, uploads in progress and the presence of clients count from then. A final answer before the end of an upload ends its attempt and frees its connection and held bytes.

--- a/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
+++ b/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
@@ -73,9 +73,10 @@
     if (!add(request)) {
       return false;
     }
-    // The deadline of a request with an upload counts from the upload's last byte.
     if (request.upload == null) {
       scheduleDeadline(request, request.request.deadlineNanos() + POLICY_DEADLINE_MARGIN_NANOS);
+    } else {
+      scheduleUploadDeadline(request);
     }
     runEvent(request, (policy, now) -> policy.requestReceived(now, request.request));
     return true;
@@ -104,9 +105,10 @@
   }
 
   @Override
-  public void uploadCompleted(InFlightRequest request, long clientTimeoutNanos) {
+  public void uploadCompleted(InFlightRequest request, long clientWaitsNanos) {
     if (!request.responseClaimed) {
-      scheduleDeadline(request, nowNanos() + clientTimeoutNanos);
+      cancelDeadline(request);
+      scheduleDeadline(request, nowNanos() + request.clientTimeoutNanos - clientWaitsNanos);
       runEvent(request, (policy, now) -> policy.uploadCompleted(now, request.request.id()));
     }
   }
@@ -315,6 +317,28 @@
             deadlineNanos - LOCAL_FAILURE_MARGIN_NANOS, () -> deadlineReached(request));
   }
 
+  /**
+   * Sets the deadline of a request whose body is being received. It counts from the body's last
+   * byte; while the node does not read on, because the archive server is slow, that byte may have
+   * been sent at any time since.
+   */
+  private void scheduleUploadDeadline(InFlightRequest request) {
+    long leftNanos = request.clientTimeoutNanos - request.upload.possibleWaitNanos();
+    request.clientDeadlineTimer =
+        policyEvents.scheduleAt(
+            nowNanos() + leftNanos - LOCAL_FAILURE_MARGIN_NANOS,
+            () -> uploadDeadlineReached(request));
+  }
+
+  private void uploadDeadlineReached(InFlightRequest request) {
+    long leftNanos = request.clientTimeoutNanos - request.upload.possibleWaitNanos();
+    if (leftNanos <= LOCAL_FAILURE_MARGIN_NANOS) {
+      deadlineReached(request);
+    } else {
+      scheduleUploadDeadline(request);
+    }
+  }
+
   private static void cancelDeadline(InFlightRequest request) {
     if (request.clientDeadlineTimer != null) {
       request.clientDeadlineTimer.cancel(false);
@@ -326,6 +350,9 @@
       fail(request);
       policyEvents.run((policy, now) -> policy.clientDisconnected(now, request.request.id()));
       request.cancelUnsentAttempt();
+      if (request.upload != null) {
+        request.upload.abort();
+      }
     }
   }
 
--- a/edge/src/main/java/edgegateway/node/clients/ClientHttpServer.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientHttpServer.java
@@ -151,7 +151,7 @@
   private void addHandlers(Channel channel) {
     StrictRequestDecoder decoder = newDecoder();
     ClientSession session = new ClientSession(sessionContext, decoder);
-    channel.config().setRecvByteBufAllocator(new ClientReadBuffers(session::isReceivingBody));
+    channel.config().setRecvByteBufAllocator(session.readBuffers());
     ChannelPipeline pipeline = channel.pipeline();
     if (tls != null) {
       pipeline.addLast(tls.newHandshakeGate(session::handshakeCompleted));
--- a/edge/src/main/java/edgegateway/node/clients/ClientPresenceCheck.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientPresenceCheck.java
@@ -54,7 +54,7 @@
   private final EventLoop loop;
 
   /** When the client was last known to be connected; updated while its connection is not read. */
-  private long lastKnownPresentNanos;
+  private long lastKnownPresentNanos = System.nanoTime();
 
   private int probesSent;
 
@@ -78,9 +78,15 @@
    * the event loop stalled recently: then it may be behind the data that was just read.
    */
   void readingStopped() {
-    long now = System.nanoTime();
-    boolean present = stallDetector.noRecentStall(now);
-    lastKnownPresentNanos = present ? now : now - PRESENCE_VALID_NANOS - 1;
+    lastKnownPresentNanos = lastReadUpToNanos(System.nanoTime());
+  }
+
+  /**
+   * The time up to which a disconnect would have been detected, if the socket is read at {@code
+   * nowNanos}. Right after an event-loop stall what is read may be as old as the stall was long.
+   */
+  long lastReadUpToNanos(long nowNanos) {
+    return stallDetector.noRecentStall(nowNanos) ? nowNanos : nowNanos - PRESENCE_VALID_NANOS - 1;
   }
 
   /** Resets the number of probes after the response to a request. */
@@ -103,7 +109,7 @@
 
   /**
    * Whether a disconnect at least 0.1 s ago would have been detected by now. While the connection
-   * is read, that holds unless the event loop stalled recently. See
+   * is read and nothing is left unread, that holds unless the event loop stalled recently. See
    * ClientDisconnectTest#noAttemptStartsAfterTheClientDisconnectedDuringAnEventLoopStall.
    */
   boolean wouldHaveSeenDisconnect() {
@@ -111,9 +117,15 @@
       return true;
     }
     long now = System.nanoTime();
-    return channel.config().isAutoRead()
-        ? stallDetector.noRecentStall(now)
-        : now - lastKnownPresentNanos <= PRESENCE_VALID_NANOS;
+    if (channel.config().isAutoRead() && !session.backlog().isBehind()) {
+      return stallDetector.noRecentStall(now);
+    }
+    // The end of the connection may be behind bytes that have not been read.
+    long readUpToNanos = session.backlog().sentAtNanos(now);
+    boolean asked = lastKnownPresentNanos - readUpToNanos > 0;
+    long knownPresentNanos =
+        asked || !channel.config().isAutoRead() ? lastKnownPresentNanos : readUpToNanos;
+    return now - knownPresentNanos <= PRESENCE_VALID_NANOS;
   }
 
   /**
@@ -124,7 +136,7 @@
    */
   void check(Runnable then) {
     InFlightRequest request = session.currentRequest();
-    if (channel.config().isAutoRead()) {
+    if (channel.config().isAutoRead() && !session.backlog().isBehind()) {
       // By then the event loop has read what arrived during its stall, including a disconnect.
       loop.schedule(then, EventLoopStallDetector.SETTLE_NANOS, TimeUnit.NANOSECONDS);
     } else if (persistence.isHttp10() || probesSent >= MAX_PROBES_PER_REQUEST) {
--- a/edge/src/main/java/edgegateway/node/clients/ClientReadBuffers.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientReadBuffers.java
@@ -15,6 +15,7 @@
   static final int BODY_READ_BYTES = 16 * 1024;
 
   private final BooleanSupplier receivingBody;
+  private boolean lastReadWasFull;
 
   /**
    * Creates the allocator of one connection.
@@ -26,6 +27,11 @@
     this.receivingBody = receivingBody;
   }
 
+  /** Whether the last read left nothing in the socket; true before the first read. */
+  boolean lastReadEmptiedSocket() {
+    return !lastReadWasFull;
+  }
+
   @SuppressWarnings("deprecation") // The interface declares no other type.
   @Override
   public Handle newHandle() {
@@ -34,6 +40,12 @@
       public int guess() {
         return receivingBody.getAsBoolean() ? BODY_READ_BYTES : HEAD_READ_BYTES;
       }
+
+      @Override
+      public void lastBytesRead(int bytes) {
+        lastReadWasFull = bytes > 0 && bytes == attemptedBytesRead();
+        super.lastBytesRead(bytes);
+      }
     };
   }
 }
--- a/edge/src/main/java/edgegateway/node/clients/ClientSession.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientSession.java
@@ -4,6 +4,7 @@
 
 import edgegateway.node.connections.BufferedBodies;
 import edgegateway.node.connections.ClientConnection;
+import edgegateway.node.connections.ConnectionAcceptor;
 import edgegateway.node.connections.ConnectionMetrics.CloseReason;
 import edgegateway.node.connections.TransportHandle;
 import edgegateway.node.logging.EventLog;
@@ -43,6 +44,8 @@
   private final StrictRequestDecoder decoder;
   private final ConnectionPersistence persistence = new ConnectionPersistence();
   private final PipelinedMessages pipelined;
+  private final InputBacklog backlog = new InputBacklog();
+  private final ClientReadBuffers readBuffers = new ClientReadBuffers(this::isReceivingBody);
   private Channel channel;
   private ResponseSender responses;
   private RequestReceiver receiver;
@@ -75,6 +78,9 @@
   /** Whether a response was submitted during the current read of the connection. */
   private boolean respondedInRead;
 
+  /** The number of completed reads of the connection. */
+  private long readsCompleted;
+
   /** Whether a turn of the {@link PipelineScheduler} is pending. */
   private boolean awaitsTurn;
 
@@ -144,11 +150,12 @@
     }
     inRead = true;
     if (isForwardingUpload()) {
-      upload.forward(message);
+      upload.forward(message, backlog.sentAtNanos(System.nanoTime()));
     } else if (mayReceiveAtOnce()) {
-      receiver.receive(message);
+      receiver.receive(message, backlog.sentAtNanos(System.nanoTime()));
     } else {
-      pipelined.add(ReferenceCountUtil.retain(message), System.nanoTime());
+      long sentAtNanos = backlog.sentAtNanos(System.nanoTime());
+      pipelined.add(ReferenceCountUtil.retain(message), sentAtNanos);
       if (updateAndCheckReadAheadFull()) {
         stopReading();
       }
@@ -182,10 +189,22 @@
   void stopReading() {
     if (channel.config().isAutoRead()) {
       presence.readingStopped();
+      backlog.fellBehind(System.nanoTime());
       channel.config().setAutoRead(false);
     }
   }
 
+  /** Reads the connection on. */
+  void resumeReading() {
+    channel.config().setAutoRead(true);
+    readRequested();
+  }
+
+  /** Since when bytes of the client, or the end of its connection, may have been unread. */
+  InputBacklog backlog() {
+    return backlog;
+  }
+
   @Override
   public void channelReadComplete(ChannelHandlerContext handlerContext) {
     if (isForwardingUpload()) {
@@ -195,9 +214,43 @@
     }
     inRead = false;
     respondedInRead = false;
+    updateBacklog();
     requestTurn();
   }
 
+  /** Records after a read whether it left bytes in the socket or none will be read for now. */
+  private void updateBacklog() {
+    boolean emptied = readBuffers.lastReadEmptiedSocket();
+    if (emptied) {
+      backlog.caughtUp();
+    }
+    if (!emptied || !isReadRequested()) {
+      backlog.fellBehind(presence.lastReadUpToNanos(System.nanoTime()));
+    }
+    readsCompleted++;
+  }
+
+  private boolean isReadRequested() {
+    return isForwardingUpload() ? upload.isReadRequested() : channel.config().isAutoRead();
+  }
+
+  /**
+   * Called when reading goes on after a pause: if the selector then reports nothing to read, the
+   * socket is empty.
+   */
+  void readRequested() {
+    if (backlog.isBehind()) {
+      long readsBefore = readsCompleted;
+      ConnectionAcceptor.afterNextSelect(context.loop(), () -> caughtUpUnlessRead(readsBefore));
+    }
+  }
+
+  private void caughtUpUnlessRead(long readsBefore) {
+    if (readsCompleted == readsBefore && isReadRequested()) {
+      backlog.caughtUp();
+    }
+  }
+
   /** Whether the client has read enough of its responses to get a further one. */
   private boolean mayRespond() {
     return connection.unwrittenResponses() < MAX_UNWRITTEN_RESPONSES;
@@ -304,6 +357,11 @@
     return receiver.isReceiving();
   }
 
+  /** The allocator to be set for the connection's reads. */
+  ClientReadBuffers readBuffers() {
+    return readBuffers;
+  }
+
   /** Whether the bytes that the client sends next belong to the body of a request. */
   boolean isReceivingBody() {
     return receiver.isReceiving() || upload != null && !upload.isComplete();
@@ -401,15 +459,16 @@
         && current == null
         && lastResponseWrite == previousResponse
         && mayRespond()) {
+      long sentAtNanos = pipelined.oldestSentAtNanos();
       HttpObject message = pipelined.poll();
       try {
-        receiver.receive(message);
+        receiver.receive(message, sentAtNanos);
       } finally {
         ReferenceCountUtil.release(message);
       }
     }
     if (!updateAndCheckReadAheadFull() && !isForwardingUpload()) {
-      channel.config().setAutoRead(true);
+      resumeReading();
     }
     if (current == null && pipelined.isEmpty() && inputEnded && !closing) {
       // The input ended within a request.
--- a/edge/src/main/java/edgegateway/node/clients/RequestBodyUpload.java
+++ b/edge/src/main/java/edgegateway/node/clients/RequestBodyUpload.java
@@ -28,9 +28,6 @@
   private long receivedBytes;
   private InFlightRequest request;
 
-  /** How long the client waits for its response from the end of the body. */
-  private long clientTimeoutNanos;
-
   /** Null while the body is not being forwarded. */
   private BodyRelay relay;
 
@@ -40,6 +37,9 @@
   private boolean complete;
   private boolean forwardingStarted;
 
+  /** Whether the attempt was told that the body was written completely, or that it will not be. */
+  private boolean ended;
+
   RequestBodyUpload(
       ClientSession session,
       Channel channel,
@@ -56,10 +56,20 @@
     this.receivedBytes = receivedBytes;
   }
 
-  /** Called when the request was accepted; takes over its timeout. */
+  /** Called when the request was accepted. */
   void requestAccepted(InFlightRequest accepted) {
     request = accepted;
-    clientTimeoutNanos = accepted.request.deadlineNanos() - handler.nowNanos();
+  }
+
+  @Override
+  public long possibleWaitNanos() {
+    long nowNanos = System.nanoTime();
+    return nowNanos - session.backlog().sentAtNanos(nowNanos);
+  }
+
+  /** Whether the rest of the body is being read. */
+  boolean isReadRequested() {
+    return relay != null && relay.isReadRequested();
   }
 
   @Override
@@ -83,11 +93,11 @@
     this.onWritten = onWritten;
     this.onAborted = onAborted;
     if (forwardingStarted || !channel.isActive()) {
-      onAborted.run();
+      end(onAborted);
       return;
     }
     session.stopReading();
-    relay = relays.start(channel, upstream);
+    relay = relays.startUpload(channel, upstream, session::readRequested);
     forwardQueued();
     if (relay != null) {
       relay.readComplete();
@@ -96,9 +106,10 @@
 
   private void forwardQueued() {
     while (!pipelined.isEmpty() && !complete) {
+      long sentAtNanos = pipelined.oldestSentAtNanos();
       HttpObject message = pipelined.poll();
       try {
-        forward(message);
+        forward(message, sentAtNanos);
       } finally {
         ReferenceCountUtil.release(message);
       }
@@ -106,8 +117,12 @@
     session.updateAndCheckReadAheadFull();
   }
 
-  /** Forwards a message of the body; the caller keeps ownership of its reference. */
-  void forward(HttpObject message) {
+  /**
+   * Forwards a message of the body; the caller keeps ownership of its reference.
+   *
+   * @param sentAtNanos the earliest time at which the client can have sent the message
+   */
+  void forward(HttpObject message, long sentAtNanos) {
     receivedBytes += PipelinedMessages.contentBytes(message);
     if (message.decoderResult().isFailure() || receivedBytes > MAX_BODY_BYTES) {
       session.closeWhenWritten(CloseReason.INVALID_BODY);
@@ -121,20 +136,34 @@
       relay.forward(content.content().retain());
     }
     if (message instanceof LastHttpContent) {
-      bodyCompleted();
+      bodyCompleted(sentAtNanos);
     }
   }
 
-  private void bodyCompleted() {
+  private void bodyCompleted(long sentAtNanos) {
     complete = true;
     stopForwarding();
-    handler.uploadCompleted(request, clientTimeoutNanos);
-    Runnable written = onWritten;
-    Runnable aborted = onAborted;
+    handler.uploadCompleted(request, System.nanoTime() - sentAtNanos);
     upstream
         .writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-        .addListener(done -> (done.isSuccess() ? written : aborted).run());
-    channel.config().setAutoRead(true);
+        .addListener(done -> end(done.isSuccess() ? onWritten : onAborted));
+    session.resumeReading();
+  }
+
+  /** Tells the attempt the result, unless it was told one before. */
+  private void end(Runnable result) {
+    if (!ended) {
+      ended = true;
+      result.run();
+    }
+  }
+
+  @Override
+  public void abort() {
+    if (upstream != null && !ended) {
+      stopForwarding();
+      end(onAborted);
+    }
   }
 
   /** Called when a read of the connection is complete. */
@@ -152,9 +181,8 @@
 
   /** Called when the client disconnected: ends the attempt, which would wait for the rest. */
   void clientDisconnected() {
-    if (!complete && upstream != null) {
-      stopForwarding();
-      onAborted.run();
+    if (!complete) {
+      abort();
     }
   }
 }
--- a/edge/src/main/java/edgegateway/node/clients/RequestParser.java
+++ b/edge/src/main/java/edgegateway/node/clients/RequestParser.java
@@ -60,6 +60,7 @@
    * Parses a request. The arguments after {@code message} become part of the result.
    *
    * @param upload streams the rest of a long body; null if {@code body} is complete
+   * @param clientWaitsNanos how long the client may have been waiting since it sent the message
    * @throws BadRequestException if the message is not a valid request; the caller then keeps
    *     ownership of {@code body} and {@code bufferedBytes}
    */
@@ -68,7 +69,8 @@
       ByteBuf body,
       BufferedBodies.Body bufferedBytes,
       InFlightRequest.BodyUpload upload,
-      InFlightRequest.ResponseWriter responseWriter)
+      InFlightRequest.ResponseWriter responseWriter,
+      long clientWaitsNanos)
       throws BadRequestException {
     String uri = message.uri();
     if (!uri.equals(API_PATH) && !uri.startsWith(API_PATH_WITH_QUERY)) {
@@ -93,13 +95,21 @@
             requestClass,
             plan,
             customer(headers),
-            handler.policyDeadlineNanos(handler.nowNanos(), clientTimeoutNanos),
+            handler.policyDeadlineNanos(handler.nowNanos() - clientWaitsNanos, clientTimeoutNanos),
             units(quota.get("units")),
             (int) integerInRange(quota.get("spread"), "X-Quota spread", 1, nodeCount),
             (int) integerInRange(quota.get("first"), "X-Quota first", 0, nodeCount - 1L),
             CLIENT_RETRY_VALUE.equals(headers.get(CLIENT_RETRY)));
     return new InFlightRequest(
-        request, method, uri, idempotencyKey, body, bufferedBytes, upload, responseWriter);
+        request,
+        method,
+        uri,
+        idempotencyKey,
+        clientTimeoutNanos,
+        body,
+        bufferedBytes,
+        upload,
+        responseWriter);
   }
 
   /**
--- a/edge/src/main/java/edgegateway/node/clients/RequestReceiver.java
+++ b/edge/src/main/java/edgegateway/node/clients/RequestReceiver.java
@@ -29,6 +29,7 @@
   private final ConnectionPersistence persistence;
   private final ClientSessionContext context;
   private final IncomingRequest incoming = new IncomingRequest();
+  private long messageSentAtNanos;
 
   RequestReceiver(
       ClientSession session,
@@ -55,8 +56,13 @@
     incoming.release();
   }
 
-  /** Handles the next message of the connection; the caller keeps ownership of its reference. */
-  void receive(HttpObject message) {
+  /**
+   * Handles the next message of the connection; the caller keeps ownership of its reference.
+   *
+   * @param sentAtNanos the earliest time at which the client can have sent the message
+   */
+  void receive(HttpObject message, long sentAtNanos) {
+    messageSentAtNanos = sentAtNanos;
     if (message.decoderResult().isFailure()) {
       persistence.closeAfterResponse();
       responses.sendText(HttpResponseStatus.BAD_REQUEST, "this is no request that can be read");
@@ -109,13 +115,19 @@
                   Unpooled.EMPTY_BUFFER,
                   incoming.bufferedBytes(),
                   null,
-                  session.newResponseWriter());
+                  session.newResponseWriter(),
+                  clientWaitsNanos());
       session.rejectOverCapacity(rejected);
     } catch (BadRequestException e) {
       responses.sendText(e.status(), e.getMessage());
     }
   }
 
+  /** How long the client may have been waiting since it sent the last message. */
+  private long clientWaitsNanos() {
+    return System.nanoTime() - messageSentAtNanos;
+  }
+
   private void receiveBody(ByteBuf chunk, boolean last) {
     connection.bytesReceived(System.nanoTime(), chunk.readableBytes());
     if (!incoming.append(chunk, last, channel.alloc())) {
@@ -147,7 +159,13 @@
         session.accept(
             context
                 .parser()
-                .parse(head, body.retain(), bufferedBytes, upload, session.newResponseWriter()));
+                .parse(
+                    head,
+                    body.retain(),
+                    bufferedBytes,
+                    upload,
+                    session.newResponseWriter(),
+                    clientWaitsNanos()));
       }
     } catch (BadRequestException e) {
       body.release();
--- a/edge/src/main/java/edgegateway/node/requests/BodyRelay.java
+++ b/edge/src/main/java/edgegateway/node/requests/BodyRelay.java
@@ -24,6 +24,8 @@
   private final Group group;
   private final Channel source;
   private final Channel sink;
+  private final long sourceStallTimeoutNanos;
+  private final Runnable onReadRequested;
   private int bytesInFlight;
 
   /**
@@ -34,10 +36,37 @@
   private boolean ended;
   private long lastProgressNanos = System.nanoTime();
 
-  private BodyRelay(Group group, Channel source, Channel sink) {
+  /** When bytes were last received, or a read was requested after a pause. */
+  private long sourceAwaitedSinceNanos = lastProgressNanos;
+
+  private long receivedBytes;
+
+  private BodyRelay(
+      Group group,
+      Channel source,
+      Channel sink,
+      long sourceStallTimeoutNanos,
+      Runnable onReadRequested) {
     this.group = group;
     this.source = source;
     this.sink = sink;
+    this.sourceStallTimeoutNanos = sourceStallTimeoutNanos;
+    this.onReadRequested = onReadRequested;
+  }
+
+  /** Whether a read of the source is requested or in progress. */
+  public boolean isReadRequested() {
+    return reading;
+  }
+
+  /** How many bytes of the body this relay has received. */
+  public long receivedBytes() {
+    return receivedBytes;
+  }
+
+  /** How long the source has sent nothing although it is read; 0 while it is not read. */
+  public long sourceSilentNanos() {
+    return reading ? System.nanoTime() - sourceAwaitedSinceNanos : 0;
   }
 
   /**
@@ -51,8 +80,11 @@
     }
     int chunkBytes = chunk.readableBytes() + CHUNK_OVERHEAD_BYTES;
     bytesInFlight += chunkBytes;
+    receivedBytes += chunk.readableBytes();
     lastProgressNanos = System.nanoTime();
-    sink.write(new DefaultHttpContent(chunk)).addListener(done -> chunkWritten(chunkBytes));
+    sourceAwaitedSinceNanos = lastProgressNanos;
+    sink.write(new DefaultHttpContent(BodyChunks.compact(chunk)))
+        .addListener(done -> chunkWritten(chunkBytes));
   }
 
   private void chunkWritten(int chunkBytes) {
@@ -78,7 +110,9 @@
   private void readIfBelowLimit() {
     if (!ended && !reading && bytesInFlight < group.maxBytesPerRelay()) {
       reading = true;
+      sourceAwaitedSinceNanos = System.nanoTime();
       source.read();
+      onReadRequested.run();
     }
   }
 
@@ -91,7 +125,8 @@
   }
 
   private boolean isStalled(long now) {
-    return now - lastProgressNanos > Group.STALL_TIMEOUT_NANOS;
+    return now - lastProgressNanos > Group.STALL_TIMEOUT_NANOS
+        || sourceSilentNanos() > sourceStallTimeoutNanos;
   }
 
   /**
@@ -100,7 +135,8 @@
    * length is complete when its connection closes.
    */
   private void abortStalled() {
-    Channel stalled = bytesInFlight > 0 ? sink : source;
+    boolean sourceStalled = bytesInFlight == 0 || sourceSilentNanos() > sourceStallTimeoutNanos;
+    Channel stalled = sourceStalled ? source : sink;
     stalled.pipeline().fireExceptionCaught(new IOException("no progress in forwarding the body"));
   }
 
@@ -114,6 +150,10 @@
     private static final int MIN_BYTES_PER_RELAY = 8 << 10;
     private static final int MAX_BYTES_PER_RELAY = 128 << 10;
     private static final long STALL_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(8);
+
+    /** A client that stops within its request is owed an error or a close within 3 s. */
+    private static final long UPLOAD_STALL_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_200);
+
     private static final long STALL_CHECK_INTERVAL_MILLIS = 500;
 
     private final Set<BodyRelay> running = new LinkedHashSet<>();
@@ -135,7 +175,21 @@
      * off: the relay requests each further read.
      */
     public BodyRelay start(Channel source, Channel sink) {
-      BodyRelay relay = new BodyRelay(this, source, sink);
+      return start(source, sink, STALL_TIMEOUT_NANOS, () -> {});
+    }
+
+    /**
+     * Starts a relay of a request's body, whose client may pause only shortly. See {@link #start}.
+     *
+     * @param onReadRequested run whenever the client is read again after a pause
+     */
+    public BodyRelay startUpload(Channel source, Channel sink, Runnable onReadRequested) {
+      return start(source, sink, UPLOAD_STALL_TIMEOUT_NANOS, onReadRequested);
+    }
+
+    private BodyRelay start(
+        Channel source, Channel sink, long sourceStallTimeoutNanos, Runnable onReadRequested) {
+      BodyRelay relay = new BodyRelay(this, source, sink, sourceStallTimeoutNanos, onReadRequested);
       running.add(relay);
       source.config().setAutoRead(false);
       return relay;
--- a/edge/src/main/java/edgegateway/node/requests/ClientRequestHandler.java
+++ b/edge/src/main/java/edgegateway/node/requests/ClientRequestHandler.java
@@ -41,9 +41,9 @@
   /**
    * The last byte of a long body arrived.
    *
-   * @param clientTimeoutNanos how long the client waits for its response from now on
+   * @param clientWaitsNanos how long the client may have been waiting since it sent that byte
    */
-  void uploadCompleted(InFlightRequest request, long clientTimeoutNanos);
+  void uploadCompleted(InFlightRequest request, long clientWaitsNanos);
 
   /**
    * A streamed response ended.
--- a/edge/src/main/java/edgegateway/node/requests/InFlightRequest.java
+++ b/edge/src/main/java/edgegateway/node/requests/InFlightRequest.java
@@ -91,6 +91,15 @@
 
     /** Whether the last byte of the body was received and forwarded. */
     boolean isComplete();
+
+    /**
+     * How long ago the client may have sent the last byte, although it has not been read; 0 if it
+     * has certainly not sent it.
+     */
+    long possibleWaitNanos();
+
+    /** Ends the attempt that the body is forwarded to, unless the body was written completely. */
+    void abort();
   }
 
   public final Request request;
@@ -100,6 +109,9 @@
   /** Null if the request has no idempotency key. */
   public final String idempotencyKey;
 
+  /** How long the client waits for its response, from the last byte of the request. */
+  public final long clientTimeoutNanos;
+
   /** The body; only its buffered beginning if {@link #upload} is not null. */
   public final ByteBuf body;
 
@@ -143,6 +155,7 @@
    * Takes ownership of {@code body} and {@code bufferedBytes} until {@link #release}.
    *
    * @param idempotencyKey null if the request has none
+   * @param clientTimeoutNanos how long the client waits, from the last byte of the request
    * @param bufferedBytes the memory accounted for {@code body}
    * @param upload streams the rest of a long body; null if {@code body} is complete
    */
@@ -151,6 +164,7 @@
       HttpMethod method,
       String uri,
       String idempotencyKey,
+      long clientTimeoutNanos,
       ByteBuf body,
       BufferedBodies.Body bufferedBytes,
       BodyUpload upload,
@@ -159,6 +173,7 @@
     this.method = method;
     this.uri = uri;
     this.idempotencyKey = idempotencyKey;
+    this.clientTimeoutNanos = clientTimeoutNanos;
     this.body = body;
     this.bufferedBytes = bufferedBytes;
     this.upload = upload;
--- a/edge/src/test/java/edgegateway/node/clients/FakeRequestHandler.java
+++ b/edge/src/test/java/edgegateway/node/clients/FakeRequestHandler.java
@@ -52,7 +52,7 @@
   public void bodyForwarded(InFlightRequest request) {}
 
   @Override
-  public void uploadCompleted(InFlightRequest request, long clientTimeoutNanos) {}
+  public void uploadCompleted(InFlightRequest request, long clientWaitsNanos) {}
 
   @Override
   public void responseEnded(InFlightRequest request, RequestEnd end) {}
--- a/edge/src/test/java/edgegateway/node/clients/RequestParserTest.java
+++ b/edge/src/test/java/edgegateway/node/clients/RequestParserTest.java
@@ -59,7 +59,7 @@
   }
 
   private InFlightRequest parse(HttpRequest message, ByteBuf body) throws BadRequestException {
-    return parser.parse(message, body, bufferedBodies.newBody(1), null, null);
+    return parser.parse(message, body, bufferedBodies.newBody(1), null, null, 0);
   }
 
   private void assertRejected(int status, String message, HttpRequest request) {
--- a/edge/src/test/java/edgegateway/node/upstream/UpstreamConnectionHandlerTest.java
+++ b/edge/src/test/java/edgegateway/node/upstream/UpstreamConnectionHandlerTest.java
@@ -112,6 +112,7 @@
             HttpMethod.POST,
             "/api",
             "key-" + id,
+            TIMEOUT_NANOS,
             Unpooled.copiedBuffer("book", StandardCharsets.US_ASCII),
             bufferedBodies.newBody(7),
             null,
