Do not cut off a long response that the archive server still sends

Callers saw: long answers (137 to 243 kB, 2.8 MB) that a server wrote slowly were cut off: the attempt was closed at its timeout and the request refused, or the client's connection was reset 6 ms before its deadline. Cause: attempts and streams were timed to their last byte, whatever their length. Change: LongResponses decides. At an attempt's timeout a 200 response that has begun and may be long is streamed from there if its server sent anything in the last 0.6 s. At the deadline a long response goes on until its server pauses 1.5 s or it exceeds 32 MB; one of no length and up to 64 KiB may be 0.4 s late. One received whole waits for its client (8 s without progress). "Endless" answers of no length now end once 32 MB are exceeded (those that stop, or declare 2 GB, still in 1.45 to 2 s); a complete long answer unread at its deadline stays open with and without a further request, where one of the two was reset.

--- a/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
+++ b/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
@@ -8,6 +8,8 @@
 import edgegateway.node.requests.AttemptListener;
 import edgegateway.node.requests.ClientRequestHandler;
 import edgegateway.node.requests.InFlightRequest;
+import edgegateway.node.requests.StreamProgress;
+import edgegateway.policy.GatewayPolicy;
 import edgegateway.policy.api.AttemptResult;
 import edgegateway.policy.api.Outcome;
 import io.netty.buffer.ByteBuf;
@@ -33,11 +35,12 @@
   private static final long POLICY_DEADLINE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(12);
 
   /**
-   * This long before the client's deadline, a request without an answer is failed, and a streamed
-   * response that is not completely written is aborted.
+   * This long before the client's deadline, a request without an answer is failed, and it is
+   * decided whether an incomplete streamed response goes on.
    */
   private static final long LOCAL_FAILURE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(6);
 
+  private static final long STREAM_CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
   private static final long MIN_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
   private final PolicyEventLoop policyEvents;
@@ -180,6 +183,7 @@
       long length,
       long durationNanos,
       String endpointId,
+      StreamProgress progress,
       Runnable onClientDisconnect) {
     // Does not update the metrics: a streamed response is counted when it ends.
     InFlightRequest.ResponseWriter response = request.claimResponse();
@@ -192,13 +196,46 @@
     request.attemptInFlight = false;
     removeIfFinished(request);
     Channel client = response.startStream(length, onClientDisconnect);
-    request.clientDeadlineTimer =
-        policyEvents.scheduleAt(
-            request.clientDeadlineNanos - LOCAL_FAILURE_MARGIN_NANOS,
-            response::abortUnfinishedResponse);
+    checkStreamAt(
+        request.clientDeadlineNanos - LOCAL_FAILURE_MARGIN_NANOS,
+        new StreamedResponse(request, response, length, progress));
     return client;
   }
 
+  @Override
+  public boolean streamsAtTimeout(long declaredBytes, long silentNanos) {
+    return GatewayPolicy.streamsAtTimeout(declaredBytes, silentNanos);
+  }
+
+  private record StreamedResponse(
+      InFlightRequest request,
+      InFlightRequest.ResponseWriter writer,
+      long declaredBytes,
+      StreamProgress progress) {}
+
+  private void checkStreamAt(long timeNanos, StreamedResponse response) {
+    response.request.clientDeadlineTimer =
+        policyEvents.scheduleAt(timeNanos, () -> checkStreamAfterDeadline(response));
+  }
+
+  private void checkStreamAfterDeadline(StreamedResponse response) {
+    if (!response.writer.isStreaming()) {
+      return;
+    }
+    long nowNanos = nowNanos();
+    boolean goesOn =
+        GatewayPolicy.goesOnAfterDeadline(
+            response.declaredBytes,
+            response.progress.receivedBytes(),
+            response.progress.silentNanos(),
+            nowNanos - response.request.clientDeadlineNanos);
+    if (goesOn) {
+      checkStreamAt(nowNanos + STREAM_CHECK_INTERVAL_NANOS, response);
+    } else {
+      response.writer.abortStream();
+    }
+  }
+
   private void reportAttemptEnd(
       InFlightRequest request,
       Outcome outcome,
--- a/edge/src/main/java/edgegateway/node/clients/ClientResponseWriter.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientResponseWriter.java
@@ -29,9 +29,6 @@
   /** Whether the streamed body is delimited by the connection's close only. */
   private boolean closeDelimited;
 
-  /** The last write of a streamed response; null until the response is complete. */
-  private ChannelFuture lastWrite;
-
   ClientResponseWriter(
       ClientSession session,
       Channel channel,
@@ -90,7 +87,7 @@
     InFlightRequest request = streamedRequest;
     session.endStreaming();
     if (complete) {
-      lastWrite = responses.endStream();
+      ChannelFuture lastWrite = responses.endStream();
       lastWrite.addListener(
           done -> handler.responseEnded(request, done.isSuccess() ? RequestEnd.FORWARDED : null));
       session.responseSubmitted(lastWrite);
@@ -117,22 +114,16 @@
   }
 
   @Override
-  public void abortUnfinishedResponse() {
-    if (isStreaming()) {
-      Runnable onClientDisconnect = session.endStreaming();
-      session.requestAbandoned();
-      handler.responseEnded(streamedRequest, RequestEnd.FAILED);
-      session.reset(CloseReason.RESPONSE_DEADLINE);
-      onClientDisconnect.run();
-    } else if (lastWrite != null && !lastWrite.isDone() && session.isWithoutRequest()) {
-      // All of the response was passed to the channel, but its client reads it too slowly. The
-      // connection is not reset if it has a further request, which would be lost with it. See
-      // LongBodyTest#aCompleteResponseUnreadAtItsDeadlineIsResetUnlessAnotherRequestIsQueued.
-      session.reset(CloseReason.RESPONSE_DEADLINE);
-    }
+  public void abortStream() {
+    Runnable onClientDisconnect = session.endStreaming();
+    session.requestAbandoned();
+    handler.responseEnded(streamedRequest, RequestEnd.FAILED);
+    session.reset(CloseReason.RESPONSE_DEADLINE);
+    onClientDisconnect.run();
   }
 
-  private boolean isStreaming() {
+  @Override
+  public boolean isStreaming() {
     return session.isStreaming() && session.currentRequest() == streamedRequest;
   }
 }
--- a/edge/src/main/java/edgegateway/node/requests/AttemptListener.java
+++ b/edge/src/main/java/edgegateway/node/requests/AttemptListener.java
@@ -31,6 +31,14 @@
       double actualUnits,
       ByteBuf body);
 
+  /**
+   * Whether an incomplete response is streamed from now on, as the attempt's timeout has expired.
+   *
+   * @param declaredBytes the body's declared length; -1 if the response does not declare one
+   * @param silentNanos how long the server has sent nothing
+   */
+  boolean streamsAtTimeout(long declaredBytes, long silentNanos);
+
   /**
    * Called when a response that is too long to be buffered begins; the policy counts the attempt as
    * successful.
@@ -38,6 +46,7 @@
    * @param length the body's length in bytes; -1 if the response does not declare one
    * @param durationNanos time since the attempt was sent
    * @param endpointId the endpoint's id
+   * @param progress how much of the response has been received
    * @param onClientDisconnect run if the client disconnects before the response has ended
    * @return the client's channel, to which the body is written; null if the request already has a
    *     response
@@ -47,5 +56,6 @@
       long length,
       long durationNanos,
       String endpointId,
+      StreamProgress progress,
       Runnable onClientDisconnect);
 }
--- a/edge/src/main/java/edgegateway/node/requests/InFlightRequest.java
+++ b/edge/src/main/java/edgegateway/node/requests/InFlightRequest.java
@@ -63,11 +63,14 @@
      */
     void checkClientPresence(Runnable then);
 
+    /** Whether a streamed response has not been received completely. */
+    boolean isStreaming();
+
     /**
-     * Called shortly before the client's deadline: if a streamed response is not written
-     * completely, resets the connection, by which the client recognizes a truncated response.
+     * Ends a streamed response that is incomplete, by a reset of the connection, by which the
+     * client recognizes a truncated response.
      */
-    void abortUnfinishedResponse();
+    void abortStream();
   }
 
   /**
--- a/edge/src/main/java/edgegateway/node/upstream/UpstreamAttempt.java
+++ b/edge/src/main/java/edgegateway/node/upstream/UpstreamAttempt.java
@@ -231,6 +231,9 @@
       // The upload is not complete: the timeout for the response starts with the last byte.
       return;
     }
+    if (written && handler.streamInsteadOfTimeout()) {
+      return;
+    }
     UpstreamConnectionHandler usedHandler = handler;
     if (written) {
       usedHandler.attemptTimedOut();
--- a/edge/src/main/java/edgegateway/node/upstream/UpstreamConnectionHandler.java
+++ b/edge/src/main/java/edgegateway/node/upstream/UpstreamConnectionHandler.java
@@ -5,6 +5,7 @@
 import edgegateway.node.connections.TransportHandle;
 import edgegateway.node.connections.UpstreamConnection;
 import edgegateway.node.requests.BodyRelay;
+import edgegateway.node.requests.StreamProgress;
 import edgegateway.policy.api.Outcome;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -61,6 +62,9 @@
   /** Streams a long response body to the client; null while the body is buffered. */
   private BodyRelay relay;
 
+  /** When a part of the response last arrived. */
+  private long lastReceivedNanos;
+
   UpstreamConnectionHandler(UpstreamContext context, StrictHttpResponseDecoder decoder) {
     this.context = context;
     this.decoder = decoder;
@@ -88,6 +92,26 @@
     pooledConnection.timedOut(System.nanoTime());
   }
 
+  /**
+   * Called at the attempt's timeout: streams the response from now on if it has begun and may be
+   * long; returns false if the attempt is to be ended.
+   */
+  boolean streamInsteadOfTimeout() {
+    if (response == null || relay != null || !UpstreamResponseClassifier.isSuccess(response)) {
+      return false;
+    }
+    long declaredBytes = HttpUtil.getContentLength(response, -1L);
+    long silentNanos = System.nanoTime() - lastReceivedNanos;
+    if (!context.listener().streamsAtTimeout(declaredBytes, silentNanos)) {
+      return false;
+    }
+    startStreaming(declaredBytes);
+    if (relay != null) {
+      relay.readComplete();
+    }
+    return true;
+  }
+
   /** Called when the attempt ended before its response was complete. */
   void attemptEnded() {
     attempt = null;
@@ -110,6 +134,7 @@
       fail();
       return;
     }
+    lastReceivedNanos = System.nanoTime();
     if (message instanceof HttpResponse head && !headReceived(head)) {
       fail();
       return;
@@ -185,6 +210,7 @@
                 contentLength,
                 streamedAttempt.elapsedNanos(),
                 streamedAttempt.endpointId(),
+                new RelayProgress(),
                 channel::close);
     if (client == null) {
       streamedAttempt.cancel();
@@ -193,9 +219,24 @@
     }
     streamedAttempt.responseStreamingStarted();
     relay = context.relays().start(channel, client);
-    relay.forward(body);
-    body = null;
-    bodyAccount.release();
+    if (body != null) {
+      relay.forward(body);
+      body = null;
+      bodyAccount.release();
+    }
+  }
+
+  /** The progress of the response that is streamed now; of an ended one as long as it is unused. */
+  private final class RelayProgress implements StreamProgress {
+    @Override
+    public long receivedBytes() {
+      return relay == null ? 0 : relay.receivedBytes();
+    }
+
+    @Override
+    public long silentNanos() {
+      return relay == null ? 0 : relay.sourceSilentNanos();
+    }
   }
 
   /**
--- a/edge/src/main/java/edgegateway/policy/GatewayPolicy.java
+++ b/edge/src/main/java/edgegateway/policy/GatewayPolicy.java
@@ -16,6 +16,7 @@
 import edgegateway.policy.control.ConcurrencyController;
 import edgegateway.policy.control.ShareController;
 import edgegateway.policy.quota.QuotaManager;
+import edgegateway.policy.retry.LongResponses;
 import edgegateway.policy.routing.EjectionResult;
 import edgegateway.policy.routing.EndpointRouter;
 import edgegateway.policy.scheduling.FairQueue;
@@ -169,6 +170,17 @@
     endpointsChanged();
   }
 
+  /** See {@link LongResponses#streamsAtTimeout}. */
+  public static boolean streamsAtTimeout(long declaredBytes, long silentNanos) {
+    return LongResponses.streamsAtTimeout(declaredBytes, silentNanos);
+  }
+
+  /** See {@link LongResponses#goesOnAfterDeadline}. */
+  public static boolean goesOnAfterDeadline(
+      long declaredBytes, long receivedBytes, long silentNanos, long lateNanos) {
+    return LongResponses.goesOnAfterDeadline(declaredBytes, receivedBytes, silentNanos, lateNanos);
+  }
+
   /** Updates the limits and sends queued requests after a change of the selectable endpoints. */
   private void endpointsChanged() {
     updateCapacity();
