Run a request whose client left once, though its id comes again

Callers saw: an id ran twice when it came again after its client had left, or at the other process of an upgrade. Cause: an id was known only while its request was in the table of requests in flight of the same process. Once the attempt of a client that had left ended, or at the other process, the same id was a new request. Evidence: one process, clients that leave 50 ms after a keyed or unsafe request and send its id again 0.3 s later: 10 of 10 got 200 and ran twice (20 ms later, while the attempt runs: 409, as before). A repeated id gets 409 unless the first surely did not run, or is of a class without effect and has ended.

--- a/edge/src/main/java/edgegateway/node/EdgeNode.java
+++ b/edge/src/main/java/edgegateway/node/EdgeNode.java
@@ -15,6 +15,7 @@
 import edgegateway.node.requests.BodyRelay;
 import edgegateway.node.upgrade.HandoverFile;
 import edgegateway.node.upgrade.ProcessSlots;
+import edgegateway.node.upgrade.RecentRequestIds;
 import edgegateway.node.upstream.UpstreamPool;
 import edgegateway.policy.GatewayPolicy;
 import edgegateway.policy.api.EndpointListKind;
@@ -66,6 +67,7 @@
   private final OperatorCommandService operatorCommands;
   private final DescriptorBudgetService budget;
   private final HandoverFile handoverFile;
+  private final RecentRequestIds recentIds;
 
   /** The configuration in use; replaced on the event loop. */
   private volatile NodeConfig config;
@@ -113,9 +115,11 @@
     EventLoopStallDetector stallDetector = new EventLoopStallDetector(System.nanoTime());
     slots = new ProcessSlots(folder);
     handoverFile = new HandoverFile(folder);
+    recentIds = new RecentRequestIds(folder, slots);
 
     policyEvents = new PolicyEventLoop(loop);
-    InFlightRequestTable requests = new InFlightRequestTable(policyEvents, metrics, this);
+    InFlightRequestTable requests =
+        new InFlightRequestTable(policyEvents, metrics, this, recentIds);
     upstreamPool =
         new UpstreamPool(
             requests, loop, config, connectionMetrics, metrics, bufferedBodies, relays);
@@ -218,6 +222,7 @@
    */
   private void refresh() {
     ejections.applyFileChanges();
+    recentIds.openOtherFile();
     budget.allocate();
     updateMetrics();
   }
--- a/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
+++ b/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
@@ -9,6 +9,7 @@
 import edgegateway.node.requests.ClientRequestHandler;
 import edgegateway.node.requests.InFlightRequest;
 import edgegateway.node.requests.StreamProgress;
+import edgegateway.node.upgrade.RecentRequestIds;
 import edgegateway.policy.GatewayPolicy;
 import edgegateway.policy.api.AttemptResult;
 import edgegateway.policy.api.Outcome;
@@ -46,9 +47,15 @@
   private final PolicyEventLoop policyEvents;
   private final NodeMetrics metrics;
   private final NodeHealth health;
+  private final RecentRequestIds recentIds;
   private final Map<String, InFlightRequest> inFlight = new HashMap<>();
 
-  InFlightRequestTable(PolicyEventLoop policyEvents, NodeMetrics metrics, NodeHealth health) {
+  InFlightRequestTable(
+      PolicyEventLoop policyEvents,
+      NodeMetrics metrics,
+      NodeHealth health,
+      RecentRequestIds recentIds) {
+    this.recentIds = recentIds;
     this.policyEvents = policyEvents;
     this.metrics = metrics;
     this.health = health;
@@ -95,7 +102,8 @@
   }
 
   private boolean add(InFlightRequest request) {
-    if (inFlight.putIfAbsent(request.request.id(), request) != null) {
+    String id = request.request.id();
+    if (recentIds.contains(id) || inFlight.putIfAbsent(id, request) != null) {
       return false;
     }
     metrics.requestAccepted();
@@ -193,6 +201,7 @@
     // For the policy the attempt is over: the server has executed the request, and the policy's
     // deadline does not apply to the rest of the response.
     reportAttemptEnd(request, Outcome.OK, durationNanos, endpointId, 0);
+    request.executed = true;
     request.attemptInFlight = false;
     removeIfFinished(request);
     Channel client = response.startStream(length, onClientDisconnect);
@@ -277,6 +286,9 @@
       LOG.warn("attempt_not_allowed", field("error", new IllegalStateException(id)));
       return null;
     }
+    if (request.attempts == 0) {
+      recentIds.add(id);
+    }
     request.attempts++;
     request.attemptInFlight = true;
     return request;
@@ -340,6 +352,9 @@
         && inFlight.remove(request.request.id(), request)) {
       cancelDeadline(request);
       request.release();
+      if (request.mayBeExecutedAgain()) {
+        recentIds.remove(request.request.id());
+      }
     }
   }
 
--- a/edge/src/main/java/edgegateway/node/requests/InFlightRequest.java
+++ b/edge/src/main/java/edgegateway/node/requests/InFlightRequest.java
@@ -107,6 +107,10 @@
 
   public final Request request;
   public final HttpMethod method;
+
+  /** Whether the request may be executed repeatedly without restriction. */
+  private final boolean idempotent;
+
   public final String uri;
 
   /** Null if the request has no idempotency key. */
@@ -139,6 +143,9 @@
    */
   public long firstPossibleExecutionNanos = Long.MIN_VALUE;
 
+  /** Whether a streamed response has shown that an archive server has executed the request. */
+  public boolean executed;
+
   /** Whether no further attempt may follow the attempt in flight. */
   public boolean lastAttempt;
 
@@ -174,6 +181,7 @@
       ResponseWriter responseWriter) {
     this.request = request;
     this.method = method;
+    idempotent = method.equals(HttpMethod.GET);
     this.uri = uri;
     this.idempotencyKey = idempotencyKey;
     this.clientTimeoutNanos = clientTimeoutNanos;
@@ -196,6 +204,14 @@
     bufferedBytes.release();
   }
 
+  /**
+   * Whether a request of the same id may be sent on once this one has ended: it was not executed,
+   * or it is of a class without effect.
+   */
+  public boolean mayBeExecutedAgain() {
+    return idempotent || !executed && firstPossibleExecutionNanos == Long.MIN_VALUE;
+  }
+
   /** See {@link ResponseWriter#wouldHaveSeenDisconnect}. */
   public boolean wouldHaveSeenClientDisconnect() {
     return responseWriter.wouldHaveSeenDisconnect();
--- a/edge/src/main/java/edgegateway/node/upgrade/ProcessSlots.java
+++ b/edge/src/main/java/edgegateway/node/upgrade/ProcessSlots.java
@@ -83,7 +83,18 @@
     return isLocked(ACCEPTING_OFFSET + otherSlot());
   }
 
-  private int otherSlot() {
+  /** Whether this process occupies a slot. */
+  boolean hasSlot() {
+    return lifetimeLock != null;
+  }
+
+  /** The number of this process's slot, 0 or 1; without meaning if it has none. */
+  int slot() {
+    return slot;
+  }
+
+  /** The number of the slot that this process does not occupy. */
+  int otherSlot() {
     return SLOT_COUNT - 1 - slot;
   }
 
