--- a/edge/src/main/java/edgegateway/policy/GatewayPolicy.java
+++ b/edge/src/main/java/edgegateway/policy/GatewayPolicy.java
@@ -62,7 +62,9 @@
     SplittableRandom random = new SplittableRandom(seed);
     clock = new EventClock(nowNanos);
     router = new EndpointRouter(settings, clock, random, actions);
-    quotas = new QuotaManager(settings, clock, random, actions, this::counterWaitEnded);
+    quotas =
+        new QuotaManager(
+            settings, clock, random, actions, this::counterWaitEnded, this::customerForgotten);
     List<ClassIntervalStatistics> statistics =
         settings.requestClasses().stream().map(ClassIntervalStatistics::new).toList();
     shares = new ShareController(statistics);
@@ -125,6 +127,10 @@
     requests.dispatch();
   }
 
+  private void customerForgotten(long customer) {
+    requests.customerForgotten(customer);
+  }
+
   private void counterWaitEnded(String requestId, boolean answered) {
     requests.counterWaitEnded(requestId, answered);
   }
--- a/edge/src/main/java/edgegateway/policy/RequestLifecycle.java
+++ b/edge/src/main/java/edgegateway/policy/RequestLifecycle.java
@@ -104,6 +104,11 @@
     dispatch();
   }
 
+  /** Called when nothing is known of a customer any more. */
+  void customerForgotten(long customer) {
+    concurrencyCaps.forget(customer);
+  }
+
   private boolean hasKnownClassAndPlan(Request request) {
     return request.requestClass() >= 0
         && request.requestClass() < queues.queues().size()
@@ -308,6 +313,7 @@
     if (request.attempts() == 0) {
       quotas.release(request.reservation());
     }
+    quotas.requestEnded(request.reservation());
     request.finished();
   }
 }
--- a/edge/src/main/java/edgegateway/policy/admission/ConcurrencyCaps.java
+++ b/edge/src/main/java/edgegateway/policy/admission/ConcurrencyCaps.java
@@ -11,6 +11,11 @@
   private final ConcurrencyCap unlimited = new ConcurrencyCap(Integer.MAX_VALUE);
   private final Map<Long, ConcurrencyCap> caps = new HashMap<>();
 
+  /** Forgets the cap of a customer without open requests. */
+  public void forget(long customer) {
+    caps.remove(customer);
+  }
+
   /**
    * Returns the cap of a customer.
    *
--- a/edge/src/main/java/edgegateway/policy/quota/CeilingBucket.java
+++ b/edge/src/main/java/edgegateway/policy/quota/CeilingBucket.java
@@ -29,6 +29,11 @@
     tokens = Math.min(plan.ceilingBurstUnits() / customerNodes, tokens + units);
   }
 
+  /** Whether the bucket is full; always true for a plan without a ceiling. */
+  boolean isFull() {
+    return plan.ceilingUnitsPerSecond() <= 0 || tokens >= plan.ceilingBurstUnits() / customerNodes;
+  }
+
   /**
    * Whether the bucket holds enough tokens for a request; always true for a plan without a ceiling.
    */
--- a/edge/src/main/java/edgegateway/policy/quota/CustomerQuota.java
+++ b/edge/src/main/java/edgegateway/policy/quota/CustomerQuota.java
@@ -55,11 +55,18 @@
   private double localShare;
 
   private double unreportedUnits;
+  private int openRequests;
   private long refilledAtNanos;
   private long lastUsedNanos;
   private long nextReportNanos;
 
-  CustomerQuota(long customer, int planIndex, int declaredNodes, QuotaContext context) {
+  /**
+   * Creates the quota of a customer that is not known.
+   *
+   * @param emptySinceNanos when the customer can last have used its quota
+   */
+  CustomerQuota(
+      long customer, int planIndex, int declaredNodes, QuotaContext context, long emptySinceNanos) {
     this.customer = customer;
     this.planIndex = planIndex;
     this.context = context;
@@ -70,12 +77,38 @@
     estimate = new UsageEstimate(context.clock(), plan, context.settings().counter(), windows);
     ceiling = new CeilingBucket(plan, customerNodes);
     localShare = localShareCapacity(1);
-    // Tokens accumulate from the start of the process, not from the first request.
-    refilledAtNanos = context.clock().startNanos();
+    refilledAtNanos = emptySinceNanos;
+    lastUsedNanos = emptySinceNanos;
     // Spread the reports of all quotas over time: sent together they would overload the counter.
     nextReportNanos = context.clock().nowNanos() + context.random().nextLong(REPORT_PERIOD_NANOS);
   }
 
+  /** The key of the customer. */
+  long customer() {
+    return customer;
+  }
+
+  /** When units were last charged. */
+  long lastUsedNanos() {
+    return lastUsedNanos;
+  }
+
+  /** Whether a request of the customer has not ended. */
+  boolean hasOpenRequests() {
+    return openRequests > 0;
+  }
+
+  /** A request for which a reservation was created has ended. */
+  void requestEnded() {
+    openRequests--;
+  }
+
+  /** Whether all buckets are full again, so that the quota is that of a customer not seen yet. */
+  boolean isRefilled() {
+    refill();
+    return estimate.tokens() >= plan.burstUnits() && ceiling.isFull();
+  }
+
   /** The customer's plan. */
   public QuotaPlan plan() {
     return plan;
@@ -88,6 +121,7 @@
 
   /** Creates the reservation of a request; it does not hold any units yet. */
   public QuotaReservation newReservation(Request request) {
+    openRequests++;
     return new QuotaReservation(this, request);
   }
 
@@ -219,10 +253,10 @@
 
   /** Charges units used here; a negative number gives units back. */
   private void consume(double units) {
+    lastUsedNanos = context.clock().nowNanos();
     if (plan.unitsPerSecond() > 0) {
       unreportedUnits += units;
       estimate.consume(units);
-      lastUsedNanos = context.clock().nowNanos();
       context.unreported().add(this);
     }
   }
--- a/edge/src/main/java/edgegateway/policy/quota/QuotaManager.java
+++ b/edge/src/main/java/edgegateway/policy/quota/QuotaManager.java
@@ -7,10 +7,9 @@
 import edgegateway.policy.api.Request;
 import edgegateway.policy.time.EventClock;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.LongConsumer;
 
 /**
  * Manages the quotas of all customers and the calls to the shared counter.
@@ -45,22 +44,31 @@
   private final CounterCalls calls;
   private final UnreportedUsage unreported;
   private final QuotaContext context;
-  private final Map<Long, CustomerQuota> customers = new LinkedHashMap<>();
+  private final CustomerTable customers = new CustomerTable();
+  private final LongConsumer onCustomerForgotten;
   private boolean handedOver;
 
+  /** When any customer that is not in the table used its quota last, if at all. */
+  private long forgottenUsedNanos;
+
   /**
    * Creates the manager without customers; the counter's call budget draws once from {@code
    * random}.
+   *
+   * @param onCustomerForgotten called with the key of a customer of which nothing is known any more
    */
   public QuotaManager(
       PolicySettings settings,
       EventClock clock,
       SplittableRandom random,
       PolicyActions actions,
-      CounterWaitListener listener) {
+      CounterWaitListener listener,
+      LongConsumer onCustomerForgotten) {
     this.settings = settings;
     this.clock = clock;
     this.listener = listener;
+    this.onCustomerForgotten = onCustomerForgotten;
+    forgottenUsedNanos = clock.startNanos();
     availability = new CounterAvailability(clock, actions);
     budget = new CounterCallBudget(clock, random, availability, settings.counter().timeoutNanos());
     calls = new CounterCalls(clock, actions, availability);
@@ -77,18 +85,36 @@
   }
 
   private CustomerQuota customer(long key, int plan, int customerNodes) {
-    CustomerQuota existing = customers.get(key);
+    CustomerQuota existing = customers.use(key);
     if (existing != null) {
       return existing;
     }
-    CustomerQuota created = new CustomerQuota(key, plan, customerNodes, context);
+    // Tokens accumulate from when the customer can last have used its quota, not from now.
+    CustomerQuota created =
+        new CustomerQuota(key, plan, customerNodes, context, forgottenUsedNanos);
     if (handedOver) {
       created.stopCeilingRefill();
     }
-    customers.put(key, created);
+    CustomerQuota forgotten = customers.add(key, created);
+    if (forgotten != null) {
+      forget(forgotten);
+    }
     return created;
   }
 
+  private void forget(CustomerQuota forgotten) {
+    unreported.remove(forgotten);
+    if (!forgotten.isRefilled()) {
+      forgottenUsedNanos = Math.max(forgottenUsedNanos, forgotten.lastUsedNanos());
+    }
+    onCustomerForgotten.accept(forgotten.customer());
+  }
+
+  /** The request has ended, so that its customer may be forgotten. */
+  public void requestEnded(QuotaReservation reservation) {
+    reservation.quota().requestEnded();
+  }
+
   /**
    * Decides on a request, or calls the shared counter before the decision.
    *
@@ -175,7 +201,7 @@
    */
   public List<QuotaUsage> exportUsages() {
     List<QuotaUsage> usages = new ArrayList<>(customers.size());
-    for (CustomerQuota customer : customers.values()) {
+    for (CustomerQuota customer : customers.all()) {
       usages.add(customer.exportUsage());
       customer.stopCeilingRefill();
     }
--- a/edge/src/main/java/edgegateway/policy/quota/UnreportedUsage.java
+++ b/edge/src/main/java/edgegateway/policy/quota/UnreportedUsage.java
@@ -21,6 +21,11 @@
     quotas.add(quota);
   }
 
+  /** Drops what a quota has not reported. */
+  void remove(CustomerQuota quota) {
+    quotas.remove(quota);
+  }
+
   /**
    * Reports usage to the counter, the most urgent quota first, until the budget denies a call: if
    * it denies one for the most urgent quota, it denies one for all others.
