--- a/edge/src/main/java/edgegateway/node/EdgeNode.java
+++ b/edge/src/main/java/edgegateway/node/EdgeNode.java
@@ -137,7 +137,8 @@
 
     Supplier<NodeConfig> currentConfig = this::config;
     budget =
-        new DescriptorBudgetService(currentConfig, slots, upstreamPool, clients, bufferedBodies);
+        new DescriptorBudgetService(
+            currentConfig, slots, upstreamPool, clients, bufferedBodies, relays);
     ejections = new OperatorEjections(policyEvents, upstreamPool, currentConfig, folder);
     operatorCommands = newOperatorCommands(currentConfig);
     for (String warning : budget.allocateForSingleProcess().clampWarnings()) {
--- a/edge/src/main/java/edgegateway/node/WarmUp.java
+++ b/edge/src/main/java/edgegateway/node/WarmUp.java
@@ -108,6 +108,7 @@
         null,
         nodeConfig.seed(),
         nodeConfig.maxDescriptors(),
+        nodeConfig.memoryBytes(),
         nodeConfig.connections(),
         null,
         null,
--- a/edge/src/main/java/edgegateway/node/config/NodeConfig.java
+++ b/edge/src/main/java/edgegateway/node/config/NodeConfig.java
@@ -18,6 +18,7 @@
  * @param operators address at which the node accepts operators' calls; null for none
  * @param seed seed of all random numbers
  * @param maxDescriptors maximum number of file descriptors of the node; 1,024 by default
+ * @param memoryBytes maximum memory of the node's processes; 192 MB by default
  * @param connections limits on connections that the file sets; {@link ConnectionLimits#NONE} by
  *     default
  * @param tls TLS settings of clients' connections; null, the default, if they are not encrypted
@@ -36,6 +37,7 @@
     InetSocketAddress operators,
     long seed,
     int maxDescriptors,
+    long memoryBytes,
     ConnectionLimits connections,
     TlsTermination.Settings tls,
     ZoneEjectionSettings zones,
--- a/edge/src/main/java/edgegateway/node/config/NodeConfigParser.java
+++ b/edge/src/main/java/edgegateway/node/config/NodeConfigParser.java
@@ -25,6 +25,9 @@
  */
 public final class NodeConfigParser {
   private static final int DEFAULT_MAX_DESCRIPTORS = 1_024;
+  private static final long DEFAULT_MEMORY_MB = 192;
+  private static final long MAX_MEMORY_MB = 1 << 20;
+  private static final long BYTES_PER_MB = 1 << 20;
   private static final int SEED_RADIX = 16;
 
   private static final List<String> REQUIRED_SETTINGS =
@@ -96,6 +99,7 @@
         root.hasNonNull("ops") ? JsonFields.address(root, "ops") : null,
         seed(JsonFields.required(root, "seed")),
         root.path("limits").path("sockets").asInt(DEFAULT_MAX_DESCRIPTORS),
+        memoryBytes(root.path("limits").path("memory_mb")),
         OwnSettingsParser.connections(root.path("connections")),
         OwnSettingsParser.tls(root.path("tls")),
         OwnSettingsParser.zones(root.path("zones")),
@@ -108,6 +112,17 @@
         policySettings);
   }
 
+  private static long memoryBytes(JsonNode megabytes) throws InvalidConfigException {
+    if (megabytes.isMissingNode()) {
+      return DEFAULT_MEMORY_MB * BYTES_PER_MB;
+    }
+    if (!megabytes.isNumber() || megabytes.asLong() < 1) {
+      throw new InvalidConfigException(
+          "limits.memory_mb", "limits.memory_mb is not a number of at least 1: " + megabytes);
+    }
+    return Math.min(megabytes.asLong(), MAX_MEMORY_MB) * BYTES_PER_MB;
+  }
+
   private static PolicySettings policySettings(Map<String, String> settingsByPath)
       throws InvalidConfigException {
     try {
--- a/edge/src/main/java/edgegateway/node/connections/DescriptorBudget.java
+++ b/edge/src/main/java/edgegateway/node/connections/DescriptorBudget.java
@@ -70,6 +70,12 @@
   private static final int UNEVEN_LOAD_FACTOR = 4;
 
   private static final int MAX_BUFFERED_BYTES = 12 << 20;
+  private static final int MAX_RELAY_BYTES = 8 << 20;
+
+  /** Buffered bodies get this part (1/n) of a process's memory; most of it is the JVM's. */
+  private static final int MEMORY_PER_BUFFERED = 12;
+
+  private static final int MEMORY_PER_RELAYED = 18;
 
   /**
    * Buffered bodies and read-ahead get 3/8 of the direct memory. Long bodies that are forwarded
@@ -85,11 +91,12 @@
    *
    * @param limits the configured limits
    * @param descriptors the node's file descriptors, for sockets and files
-   * @param processes the number of the node's processes, which share the descriptors evenly
+   * @param memoryBytes the node's memory
+   * @param processes the number of the node's processes, which share descriptors and memory evenly
    * @param endpoints the number of listed archive servers
    */
   public static DescriptorBudget of(
-      ConnectionLimits limits, int descriptors, int processes, int endpoints) {
+      ConnectionLimits limits, int descriptors, long memoryBytes, int processes, int endpoints) {
     List<String> clampWarnings = new ArrayList<>();
     int operators =
         Math.max(MIN_OPERATORS, Math.min(MAX_OPERATORS, descriptors / DESCRIPTORS_PER_OPERATOR));
@@ -106,7 +113,11 @@
     int upstreams = upstreams(limits, available, maxUpstreams, clampWarnings);
     int perUpstream = perUpstream(limits, upstreams, endpoints, clampWarnings);
     int bufferedBytes =
-        clamp("held-bytes", limits.bufferedBytes(), maxBufferedBytes(), clampWarnings);
+        clamp(
+            "held-bytes",
+            limits.bufferedBytes(),
+            maxBufferedBytes(memoryBytes / processes),
+            clampWarnings);
     long idleTimeoutNanos =
         limits.idleTimeoutNanos() > 0 ? limits.idleTimeoutNanos() : DEFAULT_IDLE_TIMEOUT_NANOS;
     return new DescriptorBudget(
@@ -138,12 +149,23 @@
     return Math.min(upstreams, Math.max(UNEVEN_LOAD_FACTOR, unevenShare));
   }
 
-  private static int maxBufferedBytes() {
-    long memoryBytes =
+  private static int maxBufferedBytes(long processMemoryBytes) {
+    long directMemoryBytes =
         PlatformDependent.maxDirectMemory()
             / BUFFERED_MEMORY_DENOMINATOR
             * BUFFERED_MEMORY_NUMERATOR;
-    return (int) Math.min(MAX_BUFFERED_BYTES, memoryBytes);
+    long bytes = Math.min(directMemoryBytes, processMemoryBytes / MEMORY_PER_BUFFERED);
+    return (int) Math.min(MAX_BUFFERED_BYTES, bytes);
+  }
+
+  /**
+   * The maximum bytes in flight of long bodies that are forwarded while they arrive.
+   *
+   * @param memoryBytes the node's memory
+   * @param processes the number of the node's processes, which share the memory evenly
+   */
+  public static int maxRelayBytes(long memoryBytes, int processes) {
+    return (int) Math.min(MAX_RELAY_BYTES, memoryBytes / processes / MEMORY_PER_RELAYED);
   }
 
   /** The configured limit, at most the maximum; the maximum if no limit is configured. */
--- a/edge/src/main/java/edgegateway/node/requests/BodyRelay.java
+++ b/edge/src/main/java/edgegateway/node/requests/BodyRelay.java
@@ -145,7 +145,7 @@
     /**
      * Part of the 32 MB of buffer memory; the rest is for completely buffered bodies and for reads.
      */
-    private static final int MAX_BYTES_IN_FLIGHT = 8 << 20;
+    private static final int DEFAULT_MAX_BYTES_IN_FLIGHT = 8 << 20;
 
     private static final int MIN_BYTES_PER_RELAY = 8 << 10;
     private static final int MAX_BYTES_PER_RELAY = 128 << 10;
@@ -157,6 +157,7 @@
     private static final long STALL_CHECK_INTERVAL_MILLIS = 500;
 
     private final Set<BodyRelay> running = new LinkedHashSet<>();
+    private int maxBytesInFlight = DEFAULT_MAX_BYTES_IN_FLIGHT;
 
     /** Bytes in flight of relays that have ended. */
     private int unwrittenBytes;
@@ -195,13 +196,18 @@
       return relay;
     }
 
+    /** Sets the limit on the bytes in flight of all relays together. */
+    public void limitTo(int bytes) {
+      maxBytesInFlight = bytes;
+    }
+
     private void ended(BodyRelay relay) {
       running.remove(relay);
       unwrittenBytes += relay.bytesInFlight;
     }
 
     private int maxBytesPerRelay() {
-      int availableBytes = MAX_BYTES_IN_FLIGHT - unwrittenBytes;
+      int availableBytes = maxBytesInFlight - unwrittenBytes;
       int evenShareBytes = availableBytes / Math.max(1, running.size());
       return Math.max(MIN_BYTES_PER_RELAY, Math.min(MAX_BYTES_PER_RELAY, evenShareBytes));
     }
--- a/edge/src/test/java/edgegateway/node/connections/DescriptorBudgetTest.java
+++ b/edge/src/test/java/edgegateway/node/connections/DescriptorBudgetTest.java
@@ -8,12 +8,15 @@
 
 /** Allocation of file descriptors, and the clamping of configured limits. */
 class DescriptorBudgetTest {
+  private static final long MB = 1 << 20;
+  private static final long MEMORY_BYTES = 192 * MB;
+
   @Test
   void allProcessesTogetherStayWithinTheDescriptors() {
     for (int descriptors = 256; descriptors <= 4_096; descriptors += 16) {
       for (int processes = 1; processes <= 2; processes++) {
         DescriptorBudget budget =
-            DescriptorBudget.of(ConnectionLimits.NONE, descriptors, processes, 100);
+            DescriptorBudget.of(ConnectionLimits.NONE, descriptors, MEMORY_BYTES, processes, 100);
         int descriptorsPerProcess =
             budget.clients()
                 + budget.rejectionSlots()
@@ -37,28 +40,50 @@
 
   @Test
   void limitPerUpstreamIsFourTimesTheEvenShareWithinBounds() {
-    assertEquals(64, DescriptorBudget.of(ConnectionLimits.NONE, 256, 1, 1).perUpstream());
-    assertEquals(5, DescriptorBudget.of(ConnectionLimits.NONE, 256, 1, 50).perUpstream());
-    assertEquals(4, DescriptorBudget.of(ConnectionLimits.NONE, 256, 1, 200).perUpstream());
+    assertEquals(
+        64, DescriptorBudget.of(ConnectionLimits.NONE, 256, MEMORY_BYTES, 1, 1).perUpstream());
+    assertEquals(
+        5, DescriptorBudget.of(ConnectionLimits.NONE, 256, MEMORY_BYTES, 1, 50).perUpstream());
+    assertEquals(
+        4, DescriptorBudget.of(ConnectionLimits.NONE, 256, MEMORY_BYTES, 1, 200).perUpstream());
   }
 
   @Test
   void limitsOverTheBudgetAreClampedAndReported() {
     DescriptorBudget budget =
         DescriptorBudget.of(
-            new ConnectionLimits(5_000, 5_000, 5_000, 1 << 30, 3_000_000_000L), 256, 1, 10);
+            new ConnectionLimits(5_000, 5_000, 5_000, 1 << 30, 3_000_000_000L),
+            256,
+            MEMORY_BYTES,
+            1,
+            10);
     assertEquals(
-        DescriptorBudget.of(ConnectionLimits.NONE, 256, 1, 10).clients(), budget.clients());
+        DescriptorBudget.of(ConnectionLimits.NONE, 256, MEMORY_BYTES, 1, 10).clients(),
+        budget.clients());
     assertEquals(4, budget.clampWarnings().size());
     assertEquals(
         "connections.clients is 5000, which exceeds the available capacity: using 128 instead",
         budget.clampWarnings().get(0));
     assertEquals(3_000_000_000L, budget.idleTimeoutNanos());
     DescriptorBudget small =
-        DescriptorBudget.of(new ConnectionLimits(10, 5, 2, 1 << 18, 0), 256, 1, 10);
+        DescriptorBudget.of(new ConnectionLimits(10, 5, 2, 1 << 18, 0), 256, MEMORY_BYTES, 1, 10);
     assertEquals(
         List.of(10, 5, 2, 1 << 18),
         List.of(small.clients(), small.upstreams(), small.perUpstream(), small.bufferedBytes()));
     assertTrue(small.clampWarnings().isEmpty());
   }
+
+  @Test
+  void buffersOfAllProcessesTogetherTakeNoMoreThanAFixedPartOfTheMemory() {
+    for (long memoryMb : new long[] {32, 96, 144, 192, 256, 2_048}) {
+      for (int processes = 1; processes <= 2; processes++) {
+        DescriptorBudget budget =
+            DescriptorBudget.of(ConnectionLimits.NONE, 1_024, memoryMb * MB, processes, 100);
+        int relayBytes = DescriptorBudget.maxRelayBytes(memoryMb * MB, processes);
+        long together = processes * ((long) budget.bufferedBytes() + relayBytes);
+        assertTrue(together <= memoryMb * MB / 7, memoryMb + " MB: " + together);
+        assertTrue(budget.bufferedBytes() <= 12 * MB && relayBytes <= 8 * MB, budget.toString());
+      }
+    }
+  }
 }
