--- a/edge/src/main/java/edgegateway/node/clients/IncomingRequest.java
+++ b/edge/src/main/java/edgegateway/node/clients/IncomingRequest.java
@@ -13,10 +13,7 @@
  * thread-safe: used on the event loop's thread only.
  */
 final class IncomingRequest {
-  private static final int MIN_INITIAL_BODY_CAPACITY = 512;
-
-  /** More is allocated as it arrives: a client may declare a body and not send it. */
-  private static final int MAX_INITIAL_BODY_CAPACITY = 4 * 1024;
+  private static final int INITIAL_BODY_CAPACITY = 512;
 
   /** Null while no request is being received. */
   private HttpRequest head;
@@ -60,8 +57,8 @@
   }
 
   private int initialCapacity() {
-    long length = Math.max(MIN_INITIAL_BODY_CAPACITY, HttpUtil.getContentLength(head, 0L));
-    return (int) Math.min(MAX_INITIAL_BODY_CAPACITY, length);
+    long length = Math.max(INITIAL_BODY_CAPACITY, HttpUtil.getContentLength(head, 0L));
+    return (int) Math.min(InFlightRequest.MAX_BUFFERED_BODY_BYTES, length);
   }
 
   /** Whether the body is too long to be buffered completely. */
