Begin no attempt for a client that left before its connection was accepted

Callers saw: a client closed its connection with much still unread, and its requests were sent on afterwards. Cause (class): what is read now was taken for sent now. Connections wait in the accept queue (4 are accepted a turn), so that the first read of one may return a request, and behind it the end of a connection, that are hundreds of milliseconds old; a read that empties the socket says nothing of the end behind it until the selector has run again; and stopping to read counted as having seen the client. A trace of each decision showed reads 490 to 698 ms behind the opening of the connection, with the client taken for seen 4 to 47 ms before. Change: the acceptor tells since when its queue was not empty; a connection is behind since then. It has caught up only when the selector reports nothing after a read that emptied it. Presence counts from the last probe or from when the connection fell behind, never from a pause. Half-closed clients are asked before an attempt begins. Up to 4 checks before an attempt (was 2).

--- a/edge/src/main/java/edgegateway/node/clients/ClientHttpServer.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientHttpServer.java
@@ -265,6 +265,11 @@
       return draining;
     }
 
+    @Override
+    public long openedAtNanos(long nowNanos) {
+      return acceptor.openedAtNanos(nowNanos);
+    }
+
     @Override
     public void connectionOpened() {
       if (connections.isFull()) {
--- a/edge/src/main/java/edgegateway/node/clients/ClientPresenceCheck.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientPresenceCheck.java
@@ -1,5 +1,6 @@
 package edgegateway.node.clients;
 
+import edgegateway.node.connections.ConnectionAcceptor;
 import edgegateway.node.lifecycle.EventLoopStallDetector;
 import edgegateway.node.requests.ClientRequestHandler;
 import edgegateway.node.requests.InFlightRequest;
@@ -53,10 +54,12 @@
   private final EventLoopStallDetector stallDetector;
   private final EventLoop loop;
 
-  /** When the client was last known to be connected; updated while its connection is not read. */
-  private long lastKnownPresentNanos = System.nanoTime();
+  /** When the client was last probed; a probe of a client that has left ends the connection. */
+  private long lastProbedNanos = System.nanoTime() - PRESENCE_VALID_NANOS - 1;
 
   private int probesSent;
+  private boolean inputEnded;
+  private long inputEndedAtNanos;
 
   ClientPresenceCheck(
       ClientSession session,
@@ -73,14 +76,6 @@
     loop = context.loop();
   }
 
-  /**
-   * Reading of the connection stops now. Until now, a disconnect would have been detected, unless
-   * the event loop stalled recently: then it may be behind the data that was just read.
-   */
-  void readingStopped() {
-    lastKnownPresentNanos = lastReadUpToNanos(System.nanoTime());
-  }
-
   /**
    * The time up to which a disconnect would have been detected, if the socket is read at {@code
    * nowNanos}. Right after an event-loop stall what is read may be as old as the stall was long.
@@ -89,6 +84,12 @@
     return stallDetector.noRecentStall(nowNanos) ? nowNanos : nowNanos - PRESENCE_VALID_NANOS - 1;
   }
 
+  /** The client's input ended: whether it has left is known once the first probes are answered. */
+  void inputEnded() {
+    inputEnded = true;
+    inputEndedAtNanos = System.nanoTime();
+  }
+
   /** Resets the number of probes after the response to a request. */
   void requestEnded() {
     probesSent = 0;
@@ -117,14 +118,15 @@
       return true;
     }
     long now = System.nanoTime();
+    if (inputEnded && now - inputEndedAtNanos < EventLoopStallDetector.SETTLE_NANOS) {
+      return false;
+    }
     if (channel.config().isAutoRead() && !session.backlog().isBehind()) {
       return stallDetector.noRecentStall(now);
     }
     // The end of the connection may be behind bytes that have not been read.
     long readUpToNanos = session.backlog().sentAtNanos(now);
-    boolean asked = lastKnownPresentNanos - readUpToNanos > 0;
-    long knownPresentNanos =
-        asked || !channel.config().isAutoRead() ? lastKnownPresentNanos : readUpToNanos;
+    long knownPresentNanos = readUpToNanos - lastProbedNanos > 0 ? readUpToNanos : lastProbedNanos;
     return now - knownPresentNanos <= PRESENCE_VALID_NANOS;
   }
 
@@ -136,14 +138,17 @@
    */
   void check(Runnable then) {
     InFlightRequest request = session.currentRequest();
-    if (channel.config().isAutoRead() && !session.backlog().isBehind()) {
+    boolean caughtUp = channel.config().isAutoRead() && !session.backlog().isBehind();
+    if (inputEnded || caughtUp) {
       // By then the event loop has read what arrived during its stall, including a disconnect.
       loop.schedule(then, EventLoopStallDetector.SETTLE_NANOS, TimeUnit.NANOSECONDS);
+    } else if (channel.config().isAutoRead() && session.readBuffers().lastReadEmptiedSocket()) {
+      ConnectionAcceptor.afterNextSelect(loop, then);
     } else if (persistence.isHttp10() || probesSent >= MAX_PROBES_PER_REQUEST) {
       loop.execute(() -> reportPossiblyDisconnected(request, then));
     } else {
       probesSent += PROBES_PER_CHECK;
-      lastKnownPresentNanos = System.nanoTime();
+      lastProbedNanos = System.nanoTime();
       responses.sendContinue();
       loop.schedule(
           () -> sendSecondProbe(request, then), SECOND_PROBE_DELAY_NANOS, TimeUnit.NANOSECONDS);
--- a/edge/src/main/java/edgegateway/node/clients/ClientSession.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientSession.java
@@ -100,6 +100,12 @@
     responses = new ResponseSender(this, channel, connection, persistence);
     receiver = new RequestReceiver(this, channel, connection, responses, persistence, context);
     presence = new ClientPresenceCheck(this, channel, responses, persistence, context);
+    long nowNanos = System.nanoTime();
+    long openedAtNanos =
+        Math.min(context.server().openedAtNanos(nowNanos), presence.lastReadUpToNanos(nowNanos));
+    if (openedAtNanos < nowNanos) {
+      backlog.fellBehind(openedAtNanos);
+    }
     if (connection == null) {
       closing = true;
       channel.close();
@@ -188,8 +194,7 @@
   /** Stops reading the connection; while it is not read, no close or reset is detected. */
   void stopReading() {
     if (channel.config().isAutoRead()) {
-      presence.readingStopped();
-      backlog.fellBehind(System.nanoTime());
+      backlog.fellBehind(presence.lastReadUpToNanos(System.nanoTime()));
       channel.config().setAutoRead(false);
     }
   }
@@ -220,14 +225,12 @@
 
   /** Records after a read whether it left bytes in the socket or none will be read for now. */
   private void updateBacklog() {
-    boolean emptied = readBuffers.lastReadEmptiedSocket();
-    if (emptied) {
-      backlog.caughtUp();
-    }
-    if (!emptied || !isReadRequested()) {
+    readsCompleted++;
+    if (readBuffers.lastReadEmptiedSocket() && isReadRequested()) {
+      readRequested();
+    } else {
       backlog.fellBehind(presence.lastReadUpToNanos(System.nanoTime()));
     }
-    readsCompleted++;
   }
 
   private boolean isReadRequested() {
@@ -235,8 +238,8 @@
   }
 
   /**
-   * Called when reading goes on after a pause: if the selector then reports nothing to read, the
-   * socket is empty.
+   * Called when reading goes on after a pause, or after a read that emptied the socket: if the
+   * selector then reports nothing to read, there are neither bytes nor the end of the connection.
    */
   void readRequested() {
     if (backlog.isBehind()) {
@@ -275,6 +278,7 @@
     boolean closeNotified = context.tls() && event == SslCloseCompletionEvent.SUCCESS;
     if ((event instanceof ChannelInputShutdownEvent || closeNotified) && !inputEnded) {
       inputEnded = true;
+      presence.inputEnded();
       handleInputEnd();
     }
   }
--- a/edge/src/main/java/edgegateway/node/clients/ClientSessionContext.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientSessionContext.java
@@ -39,6 +39,9 @@
     /** Whether the server is draining, so that connections close after their next response. */
     boolean isDraining();
 
+    /** The earliest time at which a connection that is accepted now can have been opened. */
+    long openedAtNanos(long nowNanos);
+
     /** A connection was opened, whether or not the connection table accepted it. */
     void connectionOpened();
 
--- a/edge/src/main/java/edgegateway/node/connections/ConnectionAcceptor.java
+++ b/edge/src/main/java/edgegateway/node/connections/ConnectionAcceptor.java
@@ -59,6 +59,12 @@
   private Channel serverChannel;
   private Future<?> resumeTimer;
   private boolean pauseAllowed = true;
+  private int acceptedInRead;
+
+  /** Whether connections may be waiting in the kernel's backlog. */
+  private boolean backlogged;
+
+  private long backloggedSinceNanos;
 
   /**
    * Creates an acceptor that is not bound yet.
@@ -117,7 +123,7 @@
         .childOption(ChannelOption.TCP_NODELAY, true)
         // A client that shut down its output may still wait for its response.
         .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
-        .handler(new AcceptFailureHandler())
+        .handler(new AcceptHandler())
         .childHandler(
             new ChannelInitializer<Channel>() {
               @Override
@@ -137,6 +143,18 @@
     return serverChannel != null && serverChannel.isOpen();
   }
 
+  /** The earliest time at which a connection that is accepted now can have been opened. */
+  public long openedAtNanos(long nowNanos) {
+    return backlogged ? backloggedSinceNanos : nowNanos;
+  }
+
+  private void setBacklogged(boolean now) {
+    if (now && !backlogged) {
+      backloggedSinceNanos = System.nanoTime();
+    }
+    backlogged = now;
+  }
+
   /**
    * Leaves new connections in the kernel's backlog for a short time, or until {@link
    * #resumeAccepting}. After that time connections are accepted even without capacity, and further
@@ -158,6 +176,7 @@
   private void pause() {
     if (resumeTimer == null && isOpen()) {
       serverChannel.config().setAutoRead(false);
+      setBacklogged(true);
       resumeTimer =
           loop.schedule(
               () -> {
@@ -253,8 +272,24 @@
     loop.schedule(task, NEXT_SELECT_DELAY_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  /** Handles a failed accept instead of Netty's acceptor, which would pause for one second. */
-  private final class AcceptFailureHandler extends ChannelInboundHandlerAdapter {
+  /**
+   * Tells whether a read left connections in the backlog, and handles a failed accept instead of
+   * Netty's acceptor, which would pause for one second.
+   */
+  private final class AcceptHandler extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object accepted) {
+      acceptedInRead++;
+      context.fireChannelRead(accepted);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+      setBacklogged(acceptedInRead >= MAX_ACCEPTS_PER_READ);
+      acceptedInRead = 0;
+      context.fireChannelReadComplete();
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       pause();
--- a/edge/src/main/java/edgegateway/node/upstream/UpstreamAttempt.java
+++ b/edge/src/main/java/edgegateway/node/upstream/UpstreamAttempt.java
@@ -29,7 +29,7 @@
    * Maximum number of checks whether the client is still connected. After these the attempt is
    * written anyway, so that it makes progress even if the event loop stalls repeatedly.
    */
-  private static final int MAX_CLIENT_CHECKS = 2;
+  private static final int MAX_CLIENT_CHECKS = 4;
 
   private final UpstreamContext context;
   private final InFlightRequest request;
--- a/edge/src/test/java/edgegateway/node/clients/ClientSessionTest.java
+++ b/edge/src/test/java/edgegateway/node/clients/ClientSessionTest.java
@@ -60,6 +60,11 @@
       return draining;
     }
 
+    @Override
+    public long openedAtNanos(long nowNanos) {
+      return nowNanos;
+    }
+
     @Override
     public void connectionOpened() {
       opened++;
