Log requests that are not served with id and reason; show used memory

Cause: the logs of the incident named neither a request nor why it was answered late, and no figure said what filled the memory; only the JVM's last line told that it was the heap.

--- a/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
+++ b/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
@@ -2,6 +2,7 @@
 
 import static edgegateway.node.logging.EventLog.field;
 
+import edgegateway.node.RequestEndLog.Reason;
 import edgegateway.node.logging.EventLog;
 import edgegateway.node.metrics.NodeMetrics;
 import edgegateway.node.metrics.NodeMetrics.RequestEnd;
@@ -48,6 +49,7 @@
   private final NodeMetrics metrics;
   private final NodeHealth health;
   private final RecentRequestIds recentIds;
+  private final RequestEndLog endLog = new RequestEndLog(LOG, System.nanoTime());
   private final Map<String, InFlightRequest> inFlight = new HashMap<>();
 
   InFlightRequestTable(
@@ -127,6 +129,9 @@
   @Override
   public void responseEnded(InFlightRequest request, RequestEnd end) {
     cancelDeadline(request);
+    if (end == RequestEnd.FAILED) {
+      endLog.notServed(request, end, Reason.STREAM_INCOMPLETE, System.nanoTime());
+    }
     metrics.requestEnded(request.request.requestClass(), end);
   }
 
@@ -155,9 +160,9 @@
    */
   private void endWithoutAttempt(InFlightRequest request) {
     if (request.firstPossibleExecutionNanos == Long.MIN_VALUE) {
-      reject(request.request.id(), 0);
+      reject(request, 0, Reason.CLIENT_NOT_SEEN);
     } else {
-      fail(request);
+      fail(request, Reason.CLIENT_NOT_SEEN);
     }
   }
 
@@ -302,9 +307,15 @@
    */
   void reject(String id, long retryAfterNanos) {
     InFlightRequest request = inFlight.get(id);
-    InFlightRequest.ResponseWriter response =
-        request == null ? null : claimAnswer(request, RequestEnd.REJECTED);
+    if (request != null) {
+      reject(request, retryAfterNanos, Reason.POLICY);
+    }
+  }
+
+  private void reject(InFlightRequest request, long retryAfterNanos, Reason reason) {
+    InFlightRequest.ResponseWriter response = claimAnswer(request, RequestEnd.REJECTED);
     if (response != null) {
+      endLog.notServed(request, RequestEnd.REJECTED, reason, System.nanoTime());
       response.sendRejection(retryAfterNanos);
       removeIfFinished(request);
     }
@@ -317,13 +328,14 @@
   void fail(String id) {
     InFlightRequest request = inFlight.get(id);
     if (request != null) {
-      fail(request);
+      fail(request, Reason.POLICY);
     }
   }
 
-  private void fail(InFlightRequest request) {
+  private void fail(InFlightRequest request, Reason reason) {
     InFlightRequest.ResponseWriter response = claimAnswer(request, RequestEnd.FAILED);
     if (response != null) {
+      endLog.notServed(request, RequestEnd.FAILED, reason, System.nanoTime());
       response.sendFailure();
       removeIfFinished(request);
     }
@@ -399,7 +411,7 @@
 
   private void deadlineReached(InFlightRequest request) {
     if (!request.responseClaimed) {
-      fail(request);
+      fail(request, Reason.DEADLINE);
       policyEvents.run((policy, now) -> policy.clientDisconnected(now, request.request.id()));
       request.cancelUnsentAttempt();
       if (request.upload != null) {
@@ -410,6 +422,6 @@
 
   /** Runs an event about a request; if the policy throws an exception, the request is failed. */
   private void runEvent(InFlightRequest request, PolicyEventLoop.PolicyEvent event) {
-    policyEvents.run(event, () -> fail(request));
+    policyEvents.run(event, () -> fail(request, Reason.POLICY));
   }
 }
--- a/edge/src/main/java/edgegateway/node/metrics/NodeMetrics.java
+++ b/edge/src/main/java/edgegateway/node/metrics/NodeMetrics.java
@@ -1,6 +1,7 @@
 package edgegateway.node.metrics;
 
 import edgegateway.node.connections.ConnectionMetrics;
+import io.netty.util.internal.PlatformDependent;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -167,6 +168,9 @@
     appendLine(text, "discovery.silent_ms", millisSinceDiscoveryMessage());
     appendLine(text, "discovery.longest_wait_ms", longestDiscoveryWaitMillis());
     appendLine(text, "loop.longest_standstill_ms", longestLoopStallMillis());
+    Runtime jvm = Runtime.getRuntime();
+    appendLine(text, "memory.heap_used_bytes", jvm.totalMemory() - jvm.freeMemory());
+    appendLine(text, "memory.direct_used_bytes", PlatformDependent.usedDirectMemory());
     ZoneMetrics currentZones = zones;
     if (currentZones != null) {
       appendLine(text, "zones.away", currentZones.ejectedZones());
