Clear the backlog of a connection that waited in the accept queue and is idle

Change: the selector is asked right after the accept, as after a pause. Result: WaitingClientTest#aClientThatWaitedInTheAcceptQueue... fails before (503 instead of 200).

--- a/edge/src/main/java/edgegateway/node/clients/ClientSession.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientSession.java
@@ -105,6 +105,7 @@
         Math.min(context.server().openedAtNanos(nowNanos), presence.lastReadUpToNanos(nowNanos));
     if (openedAtNanos < nowNanos) {
       backlog.fellBehind(openedAtNanos);
+      readRequested();
     }
     if (connection == null) {
       closing = true;
--- a/edge/src/test/java/edgegateway/node/WaitingClientTest.java
+++ b/edge/src/test/java/edgegateway/node/WaitingClientTest.java
@@ -11,6 +11,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -104,6 +105,25 @@
     assertEquals("200", status(FakePeer.read(client)));
   }
 
+  @Test
+  void aClientThatWaitedInTheAcceptQueueAndSendsLaterHasAllOfItsTime() throws Exception {
+    FakePeer server = peer(m -> m.answer(FakePeer.ok("", "done")));
+    EdgeNode node = startNode(configOf(server.address()));
+    CompletableFuture<Void> unblockLoop = new CompletableFuture<>();
+    node.loop.execute(unblockLoop::join);
+    List<Socket> clients = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      clients.add(client(node));
+    }
+    unblockLoop.complete(null);
+    node.loop.schedule(() -> {}, WAIT_MILLIS + 200, TimeUnit.MILLISECONDS).get();
+    for (Socket client : clients) {
+      String id = "t-" + clients.indexOf(client);
+      sendRequest(client, "GET /api", headers(id, "lookup", Integer.toString(WAIT_MILLIS)), "");
+      assertEquals("200", status(FakePeer.read(client)), id);
+    }
+  }
+
   @Test
   void theTimeOfAPipelinedRequestCountsFromWhenItWasSent() throws Exception {
     List<String> wrong = Collections.synchronizedList(new ArrayList<>());
