Tell how old a client's bytes can be when the event loop's turns are slow

Cause: three times "the selector has run" was taken for granted. A timer of 1 ms started while sockets are read expires in the same turn if the turn is long, so a connection counted as caught up before its end could be read. Turns of just under 50 ms are no stall, but two of them (accept, then read) are 100 ms. And the probes of a half-closed client are late in such turns, while 20 ms after the end of its input it counted as present. Change: afterNextSelect starts its timer from a task, which runs after the sockets were read; EventLoopStallDetector tells the earliest time at which what is read now can have arrived (the firing before the last one); a half-closed client counts as present only after two probes.

--- a/edge/src/main/java/edgegateway/node/clients/ClientPresenceCheck.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientPresenceCheck.java
@@ -59,7 +59,9 @@
 
   private int probesSent;
   private boolean inputEnded;
-  private long inputEndedAtNanos;
+
+  /** The number of probes since the input ended; see {@link #PROBES_PER_CHECK}. */
+  private int probesSinceInputEnd;
 
   ClientPresenceCheck(
       ClientSession session,
@@ -81,13 +83,15 @@
    * nowNanos}. Right after an event-loop stall what is read may be as old as the stall was long.
    */
   long lastReadUpToNanos(long nowNanos) {
-    return stallDetector.noRecentStall(nowNanos) ? nowNanos : nowNanos - PRESENCE_VALID_NANOS - 1;
+    long earliestNanos = stallDetector.earliestArrivalNanos(nowNanos);
+    return stallDetector.noRecentStall(nowNanos)
+        ? earliestNanos
+        : Math.min(earliestNanos, nowNanos - PRESENCE_VALID_NANOS - 1);
   }
 
-  /** The client's input ended: whether it has left is known once the first probes are answered. */
+  /** The client's input ended: whether it has left is known once it was probed. */
   void inputEnded() {
     inputEnded = true;
-    inputEndedAtNanos = System.nanoTime();
   }
 
   /** Resets the number of probes after the response to a request. */
@@ -104,8 +108,15 @@
 
   private void probe() {
     if (session.awaitsResponse() && channel.isActive()) {
-      responses.sendContinue();
+      sendProbe();
+    }
+  }
+
+  private void sendProbe() {
+    if (inputEnded) {
+      probesSinceInputEnd++;
     }
+    responses.sendContinue();
   }
 
   /**
@@ -118,11 +129,11 @@
       return true;
     }
     long now = System.nanoTime();
-    if (inputEnded && now - inputEndedAtNanos < EventLoopStallDetector.SETTLE_NANOS) {
+    if (inputEnded && probesSinceInputEnd < PROBES_PER_CHECK) {
       return false;
     }
-    if (channel.config().isAutoRead() && !session.backlog().isBehind()) {
-      return stallDetector.noRecentStall(now);
+    if (inputEnded || channel.config().isAutoRead() && !session.backlog().isBehind()) {
+      return now - lastReadUpToNanos(now) <= PRESENCE_VALID_NANOS;
     }
     // The end of the connection may be behind bytes that have not been read.
     long readUpToNanos = session.backlog().sentAtNanos(now);
@@ -139,17 +150,20 @@
   void check(Runnable then) {
     InFlightRequest request = session.currentRequest();
     boolean caughtUp = channel.config().isAutoRead() && !session.backlog().isBehind();
-    if (inputEnded || caughtUp) {
+    boolean probed = inputEnded && probesSinceInputEnd >= PROBES_PER_CHECK;
+    if (probed || caughtUp && !inputEnded) {
       // By then the event loop has read what arrived during its stall, including a disconnect.
       loop.schedule(then, EventLoopStallDetector.SETTLE_NANOS, TimeUnit.NANOSECONDS);
-    } else if (channel.config().isAutoRead() && session.readBuffers().lastReadEmptiedSocket()) {
+    } else if (!inputEnded
+        && channel.config().isAutoRead()
+        && session.readBuffers().lastReadEmptiedSocket()) {
       ConnectionAcceptor.afterNextSelect(loop, then);
     } else if (persistence.isHttp10() || probesSent >= MAX_PROBES_PER_REQUEST) {
       loop.execute(() -> reportPossiblyDisconnected(request, then));
     } else {
       probesSent += PROBES_PER_CHECK;
       lastProbedNanos = System.nanoTime();
-      responses.sendContinue();
+      sendProbe();
       loop.schedule(
           () -> sendSecondProbe(request, then), SECOND_PROBE_DELAY_NANOS, TimeUnit.NANOSECONDS);
     }
@@ -166,7 +180,7 @@
 
   private void sendSecondProbe(InFlightRequest request, Runnable then) {
     if (session.currentRequest() == request && channel.isActive()) {
-      responses.sendContinue();
+      sendProbe();
     }
     if (!channel.isActive()) {
       // The failed write closed the channel; channelInactive is called some tasks later.
--- a/edge/src/main/java/edgegateway/node/connections/ConnectionAcceptor.java
+++ b/edge/src/main/java/edgegateway/node/connections/ConnectionAcceptor.java
@@ -265,11 +265,12 @@
   }
 
   /**
-   * Runs a task after the selector has run once more. This takes a timer, because a task that is
-   * executed directly may run in the same iteration of the event loop.
+   * Runs a task after the selector has run once more. This takes a timer that is started by a task:
+   * a task that is executed directly, and a timer that expires while the sockets are still being
+   * read, may run in the same iteration of the event loop.
    */
   public static void afterNextSelect(EventLoop loop, Runnable task) {
-    loop.schedule(task, NEXT_SELECT_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    loop.execute(() -> loop.schedule(task, NEXT_SELECT_DELAY_MILLIS, TimeUnit.MILLISECONDS));
   }
 
   /**
--- a/edge/src/main/java/edgegateway/node/lifecycle/EventLoopStallDetector.java
+++ b/edge/src/main/java/edgegateway/node/lifecycle/EventLoopStallDetector.java
@@ -10,6 +10,9 @@
  * on the event loop's thread only.
  */
 public final class EventLoopStallDetector {
+  /** The last two firings of the policy's timer are no older while the event loop is prompt. */
+  private static final long MAX_PROMPT_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
+
   /** A longer gap between two firings is a stall; the policy's timer fires every 10 ms. */
   static final long MAX_TIMER_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
@@ -20,20 +23,35 @@
   public static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
   private long lastFiredNanos;
+
+  /** The firing before the last one. */
+  private long previousFiredNanos;
+
   private long settledAtNanos;
 
   /** Creates a detector that has seen no stall; {@code nowNanos} counts as the first firing. */
   public EventLoopStallDetector(long nowNanos) {
     lastFiredNanos = nowNanos;
+    previousFiredNanos = nowNanos;
     settledAtNanos = nowNanos;
   }
 
   /** Called each time the periodic timer fires. */
   public void timerFired(long nowNanos) {
     detectStall(nowNanos);
+    previousFiredNanos = lastFiredNanos;
     lastFiredNanos = nowNanos;
   }
 
+  /**
+   * The earliest time at which something can have arrived that is read from a socket now. The
+   * selector has run since the firing before the last one; what arrived earlier was read then.
+   * While the event loop is prompt, that is now.
+   */
+  public long earliestArrivalNanos(long nowNanos) {
+    return nowNanos - previousFiredNanos > MAX_PROMPT_NANOS ? previousFiredNanos : nowNanos;
+  }
+
   /** False from the detection of a stall until {@link #SETTLE_NANOS} later, otherwise true. */
   public boolean noRecentStall(long nowNanos) {
     detectStall(nowNanos);
@@ -43,6 +61,7 @@
   private void detectStall(long nowNanos) {
     if (nowNanos - lastFiredNanos > MAX_TIMER_GAP_NANOS) {
       settledAtNanos = nowNanos + SETTLE_NANOS;
+      previousFiredNanos = lastFiredNanos;
       lastFiredNanos = nowNanos;
     }
   }
