Give bodies a part of the memory beyond what the JVM takes; a smaller heap

Change: an eighth (bodies) and a twelfth (long bodies in passing) of what a process's part of memory_mb exceeds 64 MB: 4 and 2.7 MB at 96 MB, 12 and 8 MB from 160 MB on, as before. The young generation has 12 MB instead of 16, the heap begins with 28 MB instead of 32.

--- a/edge/src/main/java/edgegateway/node/connections/DescriptorBudget.java
+++ b/edge/src/main/java/edgegateway/node/connections/DescriptorBudget.java
@@ -72,10 +72,14 @@
   private static final int MAX_BUFFERED_BYTES = 12 << 20;
   private static final int MAX_RELAY_BYTES = 8 << 20;
 
-  /** Buffered bodies get this part (1/n) of a process's memory; most of it is the JVM's. */
-  private static final int MEMORY_PER_BUFFERED = 12;
+  /** Of a process's memory, what the JVM takes itself: code, classes, threads and a small heap. */
+  private static final long JVM_MEMORY_BYTES = 64L << 20;
 
-  private static final int MEMORY_PER_RELAYED = 18;
+  /** Buffered bodies get this part (1/n) of the rest; heap and reads may grow into the others. */
+  private static final int MEMORY_PER_BUFFERED = 8;
+
+  private static final int MEMORY_PER_RELAYED = 12;
+  private static final long MIN_BUFFERED_BYTES = 512 << 10;
 
   /**
    * Buffered bodies and read-ahead get 3/8 of the direct memory. Long bodies that are forwarded
@@ -154,7 +158,7 @@
         PlatformDependent.maxDirectMemory()
             / BUFFERED_MEMORY_DENOMINATOR
             * BUFFERED_MEMORY_NUMERATOR;
-    long bytes = Math.min(directMemoryBytes, processMemoryBytes / MEMORY_PER_BUFFERED);
+    long bytes = Math.min(directMemoryBytes, partOf(processMemoryBytes, MEMORY_PER_BUFFERED));
     return (int) Math.min(MAX_BUFFERED_BYTES, bytes);
   }
 
@@ -165,7 +169,11 @@
    * @param processes the number of the node's processes, which share the memory evenly
    */
   public static int maxRelayBytes(long memoryBytes, int processes) {
-    return (int) Math.min(MAX_RELAY_BYTES, memoryBytes / processes / MEMORY_PER_RELAYED);
+    return (int) Math.min(MAX_RELAY_BYTES, partOf(memoryBytes / processes, MEMORY_PER_RELAYED));
+  }
+
+  private static long partOf(long processMemoryBytes, int divisor) {
+    return Math.max(MIN_BUFFERED_BYTES, (processMemoryBytes - JVM_MEMORY_BYTES) / divisor);
   }
 
   /** The configured limit, at most the maximum; the maximum if no limit is configured. */
--- a/edge/src/test/java/edgegateway/node/MisbehavingClientsSoakTest.java
+++ b/edge/src/test/java/edgegateway/node/MisbehavingClientsSoakTest.java
@@ -33,7 +33,7 @@
 class MisbehavingClientsSoakTest extends NodeTest {
   private static final int MEMORY_MB = 96;
   private static final String JVM_OPTIONS =
-      "JAVA_TOOL_OPTIONS=-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms32m -Xmx48m -Xmn16m"
+      "JAVA_TOOL_OPTIONS=-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms28m -Xmx48m -Xmn12m"
           + " -Xss512k -XX:MaxDirectMemorySize=32m -XX:ReservedCodeCacheSize=24m"
           + " -Dio.netty.leakDetection.level=disabled -XX:+ExitOnOutOfMemoryError";
 
