--- a/edge/src/main/java/edgegateway/node/RequestEndLog.java
+++ b/edge/src/main/java/edgegateway/node/RequestEndLog.java
@@ -9,7 +9,8 @@
 
 /**
  * Logs requests that were not served, with id and reason: at most {@link #MAX_LINES_PER_SECOND}
- * lines, and how many were left out. Used on the event loop's thread only.
+ * lines, and how many were left out. Requests of the warm-up are not logged. Used on the event
+ * loop's thread only.
  */
 final class RequestEndLog {
   static final int MAX_LINES_PER_SECOND = 10;
@@ -40,6 +41,9 @@
 
   /** Logs the end of a request; {@code nowNanos} is of the clock that the constructor got. */
   void notServed(InFlightRequest request, RequestEnd end, Reason reason, long nowNanos) {
+    if (request.request.id().startsWith(WarmUp.ID_PREFIX)) {
+      return;
+    }
     if (nowNanos - secondStartedNanos >= SECOND_NANOS) {
       secondStartedNanos = nowNanos;
       lines = 0;
--- a/edge/src/main/java/edgegateway/node/WarmUp.java
+++ b/edge/src/main/java/edgegateway/node/WarmUp.java
@@ -37,6 +37,9 @@
 
   private static final int REQUESTS_PER_ROUND = 20;
 
+  /** The ids of the warm-up's requests begin with this. */
+  static final String ID_PREFIX = "warm-up-";
+
   private static final int BODY_BYTES = 512;
   private static final String BODY = "x".repeat(BODY_BYTES);
   private static final String RESPONSE =
@@ -196,7 +199,7 @@
     RequestClass classSettings = config.settings().requestClasses().get(classIndex);
     List<String> plans = config.names().quotaPlans();
     boolean idempotent = classSettings.idempotency() == Idempotency.IDEMPOTENT;
-    String id = "warm-up-" + number;
+    String id = ID_PREFIX + number;
     return (idempotent ? "GET" : "POST")
         + " /api HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: "
         + id
