--- a/edge/src/main/java/edgegateway/node/clients/ClientSession.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientSession.java
@@ -4,7 +4,6 @@
 
 import edgegateway.node.connections.BufferedBodies;
 import edgegateway.node.connections.ClientConnection;
-import edgegateway.node.connections.ConnectionAcceptor;
 import edgegateway.node.connections.ConnectionMetrics.CloseReason;
 import edgegateway.node.connections.TransportHandle;
 import edgegateway.node.logging.EventLog;
@@ -46,6 +45,7 @@
   private final PipelinedMessages pipelined;
   private final InputBacklog backlog = new InputBacklog();
   private final ClientReadBuffers readBuffers = new ClientReadBuffers(this::isReceivingBody);
+  private final ReadTracker reads;
   private Channel channel;
   private ResponseSender responses;
   private RequestReceiver receiver;
@@ -78,9 +78,6 @@
   /** Whether a response was submitted during the current read of the connection. */
   private boolean respondedInRead;
 
-  /** The number of completed reads of the connection. */
-  private long readsCompleted;
-
   /** Whether a turn of the {@link PipelineScheduler} is pending. */
   private boolean awaitsTurn;
 
@@ -88,6 +85,7 @@
     this.context = context;
     this.decoder = decoder;
     pipelined = new PipelinedMessages(context.bufferedBodies());
+    reads = new ReadTracker(backlog, readBuffers, context.loop(), this::isReadRequested);
   }
 
   @Override
@@ -220,39 +218,17 @@
     }
     inRead = false;
     respondedInRead = false;
-    updateBacklog();
+    reads.readCompleted(presence.lastReadUpToNanos(System.nanoTime()));
     requestTurn();
   }
 
-  /** Records after a read whether it left bytes in the socket or none will be read for now. */
-  private void updateBacklog() {
-    readsCompleted++;
-    if (readBuffers.lastReadEmptiedSocket() && isReadRequested()) {
-      readRequested();
-    } else {
-      backlog.fellBehind(presence.lastReadUpToNanos(System.nanoTime()));
-    }
-  }
-
   private boolean isReadRequested() {
     return isForwardingUpload() ? upload.isReadRequested() : channel.config().isAutoRead();
   }
 
-  /**
-   * Called when reading goes on after a pause, or after a read that emptied the socket: if the
-   * selector then reports nothing to read, there are neither bytes nor the end of the connection.
-   */
+  /** Called when reading goes on after a pause. */
   void readRequested() {
-    if (backlog.isBehind()) {
-      long readsBefore = readsCompleted;
-      ConnectionAcceptor.afterNextSelect(context.loop(), () -> caughtUpUnlessRead(readsBefore));
-    }
-  }
-
-  private void caughtUpUnlessRead(long readsBefore) {
-    if (readsCompleted == readsBefore && isReadRequested()) {
-      backlog.caughtUp();
-    }
+    reads.readRequested();
   }
 
   /** Whether the client has read enough of its responses to get a further one. */
--- a/edge/src/test/java/edgegateway/node/MisbehavingClientsSoakTest.java
+++ b/edge/src/test/java/edgegateway/node/MisbehavingClientsSoakTest.java
@@ -286,21 +286,8 @@
         out.write(new byte[random.nextInt(length)]);
         in.read();
       }
-      case UNREAD_PIPELINE -> {
-        socket.setReceiveBufferSize(8_192);
-        for (int i = 0; !ended; i++) {
-          write(socket, "GET /nowhere HTTP/1.1\r\n\r\n".repeat(500));
-        }
-      }
-      case NEW_NAMES -> {
-        start(() -> in.transferTo(OutputStream.nullOutputStream()));
-        for (int i = 0; !ended; i++) {
-          Map<String, String> headers =
-              headersOf(id + "." + i, "lookup", random.nextLong(1L << 33));
-          headers.put("X-Quota", "units=5000,spread=1,first=0");
-          write(socket, requestText(headers, "GET /api", "\r\n"));
-        }
-      }
+      case UNREAD_PIPELINE -> pipelineUnread(socket);
+      case NEW_NAMES -> pipelineNewNames(socket, id, random);
       case SLOW_READER -> {
         socket.setReceiveBufferSize(8_192);
         write(socket, requestText(headersOf(id, "lookup", 7), "GET /api?long", "\r\n"));
@@ -309,23 +296,44 @@
         }
       }
       case LEAVES -> leave(socket, id, random);
-      case COMES_AGAIN -> {
-        String requestClass = random.nextBoolean() ? "order" : "strict";
-        String path = "POST /api?" + requestClass;
-        Map<String, String> headers = headersOf(id, requestClass, 9);
-        write(socket, requestText(headers, path, "Content-Length: 0\r\n\r\n"));
-        Thread.sleep(random.nextInt(30));
-        socket.close();
-        Thread.sleep(random.nextInt(200));
-        try (Socket again = connect()) {
-          write(again, requestText(headers, path, "Content-Length: 0\r\n\r\n"));
-          readFinal(again);
-        }
-      }
+      case COMES_AGAIN -> comeAgain(socket, id, random);
       case RESTS -> in.read();
     }
   }
 
+  private void pipelineUnread(Socket socket) throws IOException {
+    socket.setReceiveBufferSize(8_192);
+    while (!ended) {
+      write(socket, "GET /nowhere HTTP/1.1\r\n\r\n".repeat(500));
+    }
+  }
+
+  private void pipelineNewNames(Socket socket, String id, SplittableRandom random)
+      throws IOException {
+    InputStream in = socket.getInputStream();
+    start(() -> in.transferTo(OutputStream.nullOutputStream()));
+    for (int i = 0; !ended; i++) {
+      Map<String, String> headers = headersOf(id + "." + i, "lookup", random.nextLong(1L << 33));
+      headers.put("X-Quota", "units=5000,spread=1,first=0");
+      write(socket, requestText(headers, "GET /api", "\r\n"));
+    }
+  }
+
+  /** Sends a request, leaves soon, and sends the same request on a new connection. */
+  private void comeAgain(Socket socket, String id, SplittableRandom random) throws Exception {
+    String requestClass = random.nextBoolean() ? "order" : "strict";
+    Map<String, String> headers = headersOf(id, requestClass, 9);
+    String text = requestText(headers, "POST /api?" + requestClass, "Content-Length: 0\r\n\r\n");
+    write(socket, text);
+    Thread.sleep(random.nextInt(30));
+    socket.close();
+    Thread.sleep(random.nextInt(200));
+    try (Socket again = connect()) {
+      write(again, text);
+      readFinal(again);
+    }
+  }
+
   /** Sends some requests at once, reads for a moment and closes with the rest unanswered. */
   private void leave(Socket socket, String id, SplittableRandom random) throws Exception {
     int count = random.nextInt(1, 600);
