Show by a failing test that long responses are cut while their server pauses

Evidence: in all eight refusals the node closed the connection to the server at the attempt's timeout, 0.68 to 0.77 s after the head; the ninth answer was reset 46 ms after its deadline, 0.42 s after its last piece. Change: SlowServerTest plays the shapes of the evidence at a process of the node: pieces with pauses and late bodies, by length, chunks and close. It is known red. Its second test, servers that read a large request slowly or stop, passes: 36 uploads with two sizes of the kernel's buffer. The slow responses and the reading of chunks of LongBodyTest move to SlowResponse.

--- a/edge/src/test/java/edgegateway/node/LongBodyTest.java
+++ b/edge/src/test/java/edgegateway/node/LongBodyTest.java
@@ -1,10 +1,13 @@
 package edgegateway.node;
 
+import static edgegateway.node.SlowResponse.decodeChunked;
+import static edgegateway.node.SlowResponse.writeText;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import edgegateway.node.SlowResponse.Framing;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -22,7 +25,6 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -75,10 +77,6 @@
     return "127.0.0.1:" + serverSocket.getLocalPort();
   }
 
-  private static void writeText(OutputStream out, String text) throws IOException {
-    out.write(text.getBytes(StandardCharsets.ISO_8859_1));
-  }
-
   private static byte[] encodeChunked(byte[] body) throws IOException {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     for (int offset = 0; offset < body.length; offset += CHUNK_BYTES) {
@@ -91,22 +89,6 @@
     return out.toByteArray();
   }
 
-  private static byte[] decodeChunked(InputStream in) throws IOException {
-    ByteArrayOutputStream out = new ByteArrayOutputStream();
-    while (true) {
-      StringBuilder size = new StringBuilder();
-      for (int b = in.read(); b != '\n'; b = in.read()) {
-        size.append((char) b);
-      }
-      int length = Integer.parseInt(size.toString().trim(), 16);
-      out.write(in.readNBytes(length));
-      in.readNBytes(2);
-      if (length == 0) {
-        return out.toByteArray();
-      }
-    }
-  }
-
   private static String lookupRequest(String id, String version) {
     StringBuilder text = new StringBuilder("GET /api ").append(version).append("\r\n");
     headers(id, "lookup", "20000")
@@ -432,64 +414,30 @@
     }
   }
 
-  /**
-   * A server that sends a long response slowly.
-   *
-   * @param framing the header that frames the body
-   * @param bytes the length of the body
-   * @param pieceBytes the length of each piece
-   * @param pauseMillis the pause before each piece
-   * @param waitMillis how long the client waits for its response
-   */
-  private record SlowResponse(
-      String framing, int bytes, int pieceBytes, int pauseMillis, int waitMillis) {
-    void send(OutputStream out) throws IOException, InterruptedException {
-      boolean chunked = framing.startsWith("T");
-      writeText(out, "HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n");
-      for (int sent = 0; sent < bytes; sent += pieceBytes) {
-        Thread.sleep(pauseMillis);
-        int length = Math.min(pieceBytes, bytes - sent);
-        writeText(out, chunked ? Integer.toHexString(length) + "\r\n" : "");
-        out.write(BODY, sent, length);
-        writeText(out, chunked ? "\r\n" : "");
-      }
-      writeText(out, chunked ? "0\r\n\r\n" : "");
-    }
-  }
+  /** A response and how long its client waits for it. */
+  private record TimedResponse(SlowResponse response, int waitMillis) {}
 
   @Test
   void aLongResponseThatTheServerStillSendsAtItsDeadlineIsNotCutOff() throws Exception {
-    List<SlowResponse> responses =
+    List<TimedResponse> responses =
         List.of(
-            new SlowResponse("Content-Length: 137265", 137_265, 1_000, 10, 760),
-            new SlowResponse("Connection: close", 220_220, 1_000, 10, 854),
-            new SlowResponse("Connection: close", 181_953, 37_483, 375, 760),
-            new SlowResponse("Transfer-Encoding: chunked", 243_028, 121_514, 450, 560),
-            new SlowResponse("Transfer-Encoding: chunked", 2_818_148, 50_000, 20, 570));
-    FakePeer server =
-        peer(
-            m -> {
-              SlowResponse response =
-                  responses.get(Integer.parseInt(m.headers().get("x-trace-id")));
-              response.send(m.socket().getOutputStream());
-              if (response.framing().startsWith("Connection")) {
-                m.socket().close();
-              }
-            });
+            new TimedResponse(new SlowResponse(Framing.LENGTH, 137_265, 1_000, 10, 10), 760),
+            new TimedResponse(new SlowResponse(Framing.CLOSE, 220_220, 1_000, 10, 10), 854),
+            new TimedResponse(new SlowResponse(Framing.CLOSE, 181_953, 37_483, 375, 375), 760),
+            new TimedResponse(new SlowResponse(Framing.CHUNKED, 243_028, 121_514, 450, 450), 560),
+            new TimedResponse(new SlowResponse(Framing.CHUNKED, 2_818_148, 50_000, 20, 20), 570));
+    FakePeer server = peer(m -> SlowResponse.requestedBy(m.startLine()).send(m.socket()));
     EdgeNode node = startNode(configWithShortLatencyObjective(asManyMembers(server)));
-    for (int i = 0; i < responses.size(); i++) {
-      SlowResponse response = responses.get(i);
+    for (TimedResponse timed : responses) {
+      SlowResponse response = timed.response();
       Socket client = client(node);
       Map<String, String> headers =
-          headers(Integer.toString(i), "lookup", Integer.toString(response.waitMillis()));
-      sendRequest(client, "GET /api", headers, "");
+          headers("t-" + responses.indexOf(timed), "lookup", Integer.toString(timed.waitMillis()));
+      sendRequest(client, "GET " + response.path(), headers, "");
       String head = readHead(client.getInputStream());
       assertTrue(head.startsWith("HTTP/1.1 200"), response + ": " + head);
-      byte[] received =
-          head.contains("chunked")
-              ? decodeChunked(client.getInputStream())
-              : client.getInputStream().readNBytes(response.bytes());
-      assertArrayEquals(Arrays.copyOf(BODY, response.bytes()), received, response.toString());
+      assertArrayEquals(
+          response.body(), response.readBody(head, client.getInputStream()), response.toString());
     }
   }
 
--- a/edge/src/test/java/edgegateway/node/MisbehavingClientsSoakTest.java
+++ b/edge/src/test/java/edgegateway/node/MisbehavingClientsSoakTest.java
@@ -241,14 +241,6 @@
     return null;
   }
 
-  private static FakePeer.Message readFinal(Socket socket) throws IOException {
-    FakePeer.Message response = FakePeer.read(socket);
-    while (response != null && status(response).equals("100")) {
-      response = FakePeer.read(socket);
-    }
-    return response;
-  }
-
   private static void write(Socket socket, String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
   }
--- a/edge/src/test/java/edgegateway/node/NodeTest.java
+++ b/edge/src/test/java/edgegateway/node/NodeTest.java
@@ -228,6 +228,15 @@
     return head.toString();
   }
 
+  /** Reads a response, after any interim ones; null if the connection ends before. */
+  static FakePeer.Message readFinal(Socket socket) throws IOException {
+    FakePeer.Message response = FakePeer.read(socket);
+    while (response != null && status(response).equals("100")) {
+      response = FakePeer.read(socket);
+    }
+    return response;
+  }
+
   /** The headers of a valid request with the given trace id, class and time to its deadline. */
   static Map<String, String> headers(String traceId, String requestClass, String expiresInMillis) {
     Map<String, String> headers =
--- /dev/null
+++ b/edge/src/test/java/edgegateway/node/SlowServerTest.java
@@ -0,0 +1,310 @@
+package edgegateway.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import edgegateway.node.SlowResponse.Framing;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests a process of the node whose archive servers write or read slowly, with pauses. */
+@Timeout(60)
+class SlowServerTest extends NodeTest {
+  /** Some time shorter than clients wait, so that it also bounds the attempts. */
+  private static final int OBJECTIVE_MILLIS = 748;
+
+  private static final int GRACE_MILLIS = 500;
+
+  /** By how much time limits are longer on sockets than in the simulator. */
+  private static final int SOCKET_MILLIS = 50;
+
+  private static final int QUICK_REQUESTS = 40;
+
+  /** The policy limits the attempts in flight for each member. */
+  private static final int MEMBERS = 40;
+
+  @TempDir Path folder;
+
+  /**
+   * A request of a client.
+   *
+   * @param requestClass its class
+   * @param waitMillis how long the client waits
+   * @param response the response; null for one that follows a large request
+   */
+  private record Exchange(String requestClass, int waitMillis, SlowResponse response) {}
+
+  private static void startDaemon(Runnable task) {
+    Thread thread = new Thread(task);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private InetSocketAddress startNodeProcess(String server) throws Exception {
+    String[] members = new String[MEMBERS];
+    for (int i = 0; i < members.length; i++) {
+      members[i] = member("s-" + i, server, "Ready", 0);
+    }
+    String config =
+        config(members)
+            .replace("\"aim-ns\": 10000000000", "\"aim-ns\": " + OBJECTIVE_MILLIS + "000000")
+            .replace("\"late-value\": 0.2", "\"late-value\": 0");
+    Path file = Files.writeString(folder.resolve("config.json"), config);
+    Process process = startProcess(file, List.of());
+    InetSocketAddress address = awaitListenAddress(process);
+    nextLogLine(process, "warmed_up");
+    startDaemon(() -> process.inputReader().lines().forEach(line -> {}));
+    try (Socket client = connect(address)) {
+      for (int i = 0; i < QUICK_REQUESTS; i++) {
+        sendRequest(client, "GET /api", headers("quick-" + i, "lookup", "2000"), "");
+        FakePeer.read(client);
+      }
+    }
+    return address;
+  }
+
+  private Socket connect(InetSocketAddress address) throws IOException {
+    Socket socket = new Socket(address.getAddress(), address.getPort());
+    socket.setSoTimeout(20_000);
+    toClose.add(socket);
+    return socket;
+  }
+
+  /** Requests a response; returns what went wrong, or {@code whole}. */
+  private String exchange(InetSocketAddress address, Exchange exchange, String id) {
+    try (Socket client = connect(address)) {
+      long startNanos = System.nanoTime();
+      Map<String, String> headers =
+          headers(id, exchange.requestClass(), Integer.toString(exchange.waitMillis()));
+      headers.put("Cookie", "customer=%016x".formatted(id.hashCode() & 0xffff));
+      String method = exchange.requestClass().equals("lookup") ? "GET " : "POST ";
+      sendRequest(client, method + exchange.response().path(), headers, "");
+      InputStream in = client.getInputStream();
+      String head = readHead(in);
+      while (head != null && head.startsWith("HTTP/1.1 100")) {
+        head = readHead(in);
+      }
+      long firstMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+      if (head == null || !head.startsWith("HTTP/1.1 200")) {
+        return "not served after " + firstMillis + " ms: " + head;
+      }
+      if (firstMillis > exchange.waitMillis() + SOCKET_MILLIS) {
+        return "began after " + firstMillis + " ms";
+      }
+      byte[] body = exchange.response().readBody(head, in);
+      return Arrays.equals(exchange.response().body(), body) ? "whole" : "another body";
+    } catch (IOException e) {
+      return "cut: " + e;
+    }
+  }
+
+  private void assertAllWhole(List<Exchange> exchanges) throws Exception {
+    FakePeer server =
+        peer(
+            m -> {
+              SlowResponse response = SlowResponse.requestedBy(m.startLine());
+              if (response == null) {
+                m.answer(FakePeer.ok("", "done"));
+              } else {
+                response.send(m.socket());
+              }
+            });
+    InetSocketAddress address = startNodeProcess(server.address());
+    List<CompletableFuture<String>> results = new ArrayList<>();
+    for (Exchange exchange : exchanges) {
+      String id = "t-" + results.size();
+      results.add(
+          CompletableFuture.supplyAsync(
+              () -> exchange(address, exchange, id), task -> new Thread(task).start()));
+    }
+    List<String> wrong = new ArrayList<>();
+    for (int i = 0; i < exchanges.size(); i++) {
+      String result = results.get(i).get();
+      if (!result.equals("whole")) {
+        wrong.add(exchanges.get(i) + ": " + result);
+      }
+    }
+    assertEquals("", String.join("\n", wrong));
+  }
+
+  @Test
+  @Tag("known-red")
+  void aLongResponseIsNotCutOffWhileItsServerPauses() throws Exception {
+    List<Exchange> exchanges = new ArrayList<>();
+    for (String requestClass : new String[] {"lookup", "order", "strict"}) {
+      for (Framing framing : Framing.values()) {
+        for (int pause : new int[] {850, 2_000}) {
+          SlowResponse lumps = new SlowResponse(framing, 163_813, 54_604, 0, pause);
+          exchanges.add(new Exchange(requestClass, 760, lumps));
+          exchanges.add(new Exchange(requestClass, 2_281, lumps));
+          SlowResponse lateBody = new SlowResponse(framing, 149_362, 149_362, pause, 0);
+          exchanges.add(new Exchange(requestClass, 2_281, lateBody));
+        }
+        SlowResponse lateBody = new SlowResponse(framing, 149_362, 149_362, 900, 0);
+        exchanges.add(new Exchange(requestClass, 760, lateBody));
+        SlowResponse steady = new SlowResponse(framing, 137_265, 1_000, 10, 10);
+        exchanges.add(new Exchange(requestClass, 760, steady));
+        SlowResponse slowSteady = new SlowResponse(framing, 137_265, 1_000, 30, 30);
+        exchanges.add(new Exchange(requestClass, 760, slowSteady));
+      }
+    }
+    assertAllWhole(exchanges);
+  }
+
+  /**
+   * A large request that its server reads slowly.
+   *
+   * @param framing of the request's body; the length or in chunks
+   * @param bytesPerSecond how fast the server reads
+   * @param maxBytes where it stops reading
+   */
+  private record Upload(
+      Framing framing, int bytes, int bytesPerSecond, int maxBytes, int waitMillis) {
+    String head(String id) {
+      StringBuilder text =
+          new StringBuilder("POST /api?read=%d,%d".formatted(bytesPerSecond, maxBytes))
+              .append(" HTTP/1.1\r\n");
+      headers(id, "order", Integer.toString(waitMillis))
+          .forEach((name, value) -> text.append(name).append(": ").append(value).append("\r\n"));
+      boolean chunked = framing == Framing.CHUNKED;
+      return text.append(chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + bytes)
+          .append(chunked ? "\r\n\r\n" + Integer.toHexString(bytes) + "\r\n" : "\r\n\r\n")
+          .toString();
+    }
+
+    void send(OutputStream out, String id) throws IOException {
+      SlowResponse.writeText(out, head(id));
+      out.write(new byte[bytes]);
+      SlowResponse.writeText(out, framing == Framing.CHUNKED ? "\r\n0\r\n\r\n" : "");
+    }
+  }
+
+  /**
+   * Starts a server that reads as the query of each request's path says.
+   *
+   * @param receiveBufferBytes size of the kernel's buffer; 0 for its default
+   */
+  private String startSlowReader(int receiveBufferBytes) throws IOException {
+    ServerSocket server = new ServerSocket();
+    if (receiveBufferBytes > 0) {
+      server.setReceiveBufferSize(receiveBufferBytes);
+    }
+    server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
+    toClose.add(server);
+    startDaemon(
+        () -> {
+          try {
+            while (true) {
+              Socket socket = server.accept();
+              startDaemon(() -> serveSlowly(socket));
+            }
+          } catch (IOException e) {
+            // The test has ended.
+          }
+        });
+    return "127.0.0.1:" + server.getLocalPort();
+  }
+
+  private static void serveSlowly(Socket socket) {
+    try (socket) {
+      InputStream in = socket.getInputStream();
+      for (String head = readHead(in); head != null; head = readHead(in)) {
+        int query = head.indexOf("?read=");
+        if (query >= 0) {
+          String[] limits = head.substring(query + "?read=".length()).split(" ")[0].split(",");
+          readSlowly(in, Integer.parseInt(limits[0]), Integer.parseInt(limits[1]));
+          return;
+        }
+        SlowResponse.writeText(socket.getOutputStream(), FakePeer.ok("", "done"));
+      }
+    } catch (IOException | InterruptedException e) {
+      // The node closed the connection.
+    }
+  }
+
+  private static void readSlowly(InputStream in, int bytesPerSecond, int maxBytes)
+      throws IOException, InterruptedException {
+    for (int read = 0; read < maxBytes; read += bytesPerSecond / 50) {
+      if (in.readNBytes(Math.min(bytesPerSecond / 50, maxBytes - read)).length == 0) {
+        return;
+      }
+      Thread.sleep(20);
+    }
+    new CompletableFuture<>().join();
+  }
+
+  /** Sends a large request; returns what went wrong, or {@code in time}. */
+  private String upload(InetSocketAddress address, Upload upload, String id) {
+    try (Socket client = connect(address)) {
+      AtomicLong sentNanos = new AtomicLong(Long.MAX_VALUE);
+      startDaemon(
+          () -> {
+            try {
+              upload.send(client.getOutputStream(), id);
+              sentNanos.set(System.nanoTime());
+            } catch (IOException e) {
+              // The node answered and closed before it read all of the body.
+            }
+          });
+      FakePeer.Message response = readFinal(client);
+      long lateMillis =
+          TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos.get()) - upload.waitMillis();
+      if (response == null || status(response).equals("200")) {
+        return "answered by " + response;
+      }
+      boolean sent = sentNanos.get() != Long.MAX_VALUE;
+      return sent && lateMillis > GRACE_MILLIS ? "late by " + lateMillis + " ms" : "in time";
+    } catch (IOException e) {
+      return "no answer: " + e;
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 8_192})
+  void aFinalAnswerIsInTimeThoughTheServerReadsALargeRequestSlowly(int receiveBufferBytes)
+      throws Exception {
+    InetSocketAddress address = startNodeProcess(startSlowReader(receiveBufferBytes));
+    List<Upload> uploads = new ArrayList<>();
+    for (Framing framing : new Framing[] {Framing.LENGTH, Framing.CHUNKED}) {
+      for (int bytes : new int[] {100_000, 279_042, 785_488, 923_962, 3_000_000, 7_000_000}) {
+        uploads.add(new Upload(framing, bytes, 1_000_000, 17_189, 593));
+        uploads.add(new Upload(framing, bytes, 99_983, Integer.MAX_VALUE, 570));
+        uploads.add(new Upload(framing, bytes, 20_000, Integer.MAX_VALUE, 2_300));
+      }
+    }
+    List<CompletableFuture<String>> results = new ArrayList<>();
+    for (Upload upload : uploads) {
+      String id = "t-" + results.size();
+      results.add(
+          CompletableFuture.supplyAsync(
+              () -> upload(address, upload, id), task -> new Thread(task).start()));
+    }
+    List<String> wrong = new ArrayList<>();
+    for (int i = 0; i < uploads.size(); i++) {
+      String result = results.get(i).get();
+      if (!result.equals("in time")) {
+        wrong.add(uploads.get(i) + ": " + result);
+      }
+    }
+    assertEquals("", String.join("\n", wrong));
+  }
+}
