Log why a begun response is given up; keep lines of sent requests from being displaced

Change: response_given_up names the endpoint, how much of the response was declared and received, how long the server was silent and how late it was; request_not_served has the last attempt's outcome, and requests with an attempt have lines of their own; responses.longest_pause_ms counts pauses that servers end. ResponseProgress is one record for the policy and the node in place of three longs; StreamDeadlines takes the deadlines of streamed responses out of InFlightRequestTable. No decision changes.

--- a/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
+++ b/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
@@ -9,17 +9,18 @@
 import edgegateway.node.requests.AttemptListener;
 import edgegateway.node.requests.ClientRequestHandler;
 import edgegateway.node.requests.InFlightRequest;
-import edgegateway.node.requests.StreamProgress;
 import edgegateway.node.upgrade.RecentRequestIds;
 import edgegateway.policy.GatewayPolicy;
 import edgegateway.policy.api.AttemptResult;
 import edgegateway.policy.api.Outcome;
+import edgegateway.policy.api.ResponseProgress;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * The table of requests in flight. Each request is added once, gets one final answer, and is
@@ -40,9 +41,8 @@
    * This long before the client's deadline, a request without an answer is failed, and it is
    * decided whether an incomplete streamed response goes on.
    */
-  private static final long LOCAL_FAILURE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(6);
+  static final long LOCAL_FAILURE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(6);
 
-  private static final long STREAM_CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
   private static final long MIN_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
   private final PolicyEventLoop policyEvents;
@@ -50,6 +50,7 @@
   private final NodeHealth health;
   private final RecentRequestIds recentIds;
   private final RequestEndLog endLog = new RequestEndLog(LOG, System.nanoTime());
+  private final StreamDeadlines streamDeadlines;
   private final Map<String, InFlightRequest> inFlight = new HashMap<>();
 
   InFlightRequestTable(
@@ -59,6 +60,7 @@
       RecentRequestIds recentIds) {
     this.recentIds = recentIds;
     this.policyEvents = policyEvents;
+    streamDeadlines = new StreamDeadlines(policyEvents, endLog);
     this.metrics = metrics;
     this.health = health;
   }
@@ -196,7 +198,7 @@
       long length,
       long durationNanos,
       String endpointId,
-      StreamProgress progress,
+      Supplier<ResponseProgress> progress,
       Runnable onClientDisconnect) {
     // Does not update the metrics: a streamed response is counted when it ends.
     InFlightRequest.ResponseWriter response = request.claimResponse();
@@ -210,44 +212,19 @@
     request.attemptInFlight = false;
     removeIfFinished(request);
     Channel client = response.startStream(length, onClientDisconnect);
-    checkStreamAt(
-        request.clientDeadlineNanos - LOCAL_FAILURE_MARGIN_NANOS,
-        new StreamedResponse(request, response, length, progress));
+    streamDeadlines.watch(request, response, endpointId, progress);
     return client;
   }
 
   @Override
-  public boolean streamsAtTimeout(long declaredBytes, long silentNanos) {
-    return GatewayPolicy.streamsAtTimeout(declaredBytes, silentNanos);
-  }
-
-  private record StreamedResponse(
-      InFlightRequest request,
-      InFlightRequest.ResponseWriter writer,
-      long declaredBytes,
-      StreamProgress progress) {}
-
-  private void checkStreamAt(long timeNanos, StreamedResponse response) {
-    response.request.clientDeadlineTimer =
-        policyEvents.scheduleAt(timeNanos, () -> checkStreamAfterDeadline(response));
-  }
-
-  private void checkStreamAfterDeadline(StreamedResponse response) {
-    if (!response.writer.isStreaming()) {
-      return;
-    }
-    long nowNanos = nowNanos();
-    boolean goesOn =
-        GatewayPolicy.goesOnAfterDeadline(
-            response.declaredBytes,
-            response.progress.receivedBytes(),
-            response.progress.silentNanos(),
-            nowNanos - response.request.clientDeadlineNanos);
-    if (goesOn) {
-      checkStreamAt(nowNanos + STREAM_CHECK_INTERVAL_NANOS, response);
-    } else {
-      response.writer.abortStream();
+  public boolean streamsAtTimeout(
+      InFlightRequest request, String endpointId, ResponseProgress progress) {
+    boolean streams = GatewayPolicy.streamsAtTimeout(progress);
+    if (!streams) {
+      long lateNanos = nowNanos() - request.clientDeadlineNanos;
+      endLog.responseGivenUp(request, endpointId, progress, false, lateNanos, System.nanoTime());
     }
+    return streams;
   }
 
   private void reportAttemptEnd(
@@ -256,6 +233,7 @@
       long durationNanos,
       String endpointId,
       double units) {
+    request.lastOutcome = outcome;
     // Read here because the event may run in a later iteration of the event loop.
     boolean requestComplete = request.responseClaimed;
     int attemptIndex = request.attempts - 1;
--- a/edge/src/main/java/edgegateway/node/RequestEndLog.java
+++ b/edge/src/main/java/edgegateway/node/RequestEndLog.java
@@ -3,20 +3,21 @@
 import static edgegateway.node.logging.EventLog.field;
 
 import edgegateway.node.logging.EventLog;
+import edgegateway.node.logging.LineBudget;
 import edgegateway.node.metrics.NodeMetrics.RequestEnd;
 import edgegateway.node.requests.InFlightRequest;
+import edgegateway.policy.api.ResponseProgress;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Logs requests that were not served, with id and reason: at most {@link #MAX_LINES_PER_SECOND}
- * lines, and how many were left out. Requests of the warm-up are not logged. Used on the event
- * loop's thread only.
+ * Logs requests that were not served, and responses that the node gave up although their server had
+ * begun them: at most {@link #MAX_LINES_PER_SECOND} lines of each kind, and how many were left out.
+ * Requests without an attempt are a kind of their own, so that many rejected ones do not displace
+ * the others. Requests of the warm-up are not logged. Used on the event loop's thread only.
  */
 final class RequestEndLog {
   static final int MAX_LINES_PER_SECOND = 10;
 
-  private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
-
   /** Why a request was not served. */
   enum Reason {
     /** The policy gave it up or rejected it. */
@@ -30,29 +31,23 @@
   }
 
   private final EventLog log;
-  private long secondStartedNanos;
-  private int lines;
-  private long leftOut;
+  private final LineBudget unsentLines;
+  private final LineBudget sentLines;
+  private final LineBudget responseLines;
 
   RequestEndLog(EventLog log, long nowNanos) {
     this.log = log;
-    secondStartedNanos = nowNanos;
+    unsentLines = new LineBudget(MAX_LINES_PER_SECOND, nowNanos);
+    sentLines = new LineBudget(MAX_LINES_PER_SECOND, nowNanos);
+    responseLines = new LineBudget(MAX_LINES_PER_SECOND, nowNanos);
   }
 
   /** Logs the end of a request; {@code nowNanos} is of the clock that the constructor got. */
   void notServed(InFlightRequest request, RequestEnd end, Reason reason, long nowNanos) {
-    if (request.request.id().startsWith(WarmUp.ID_PREFIX)) {
-      return;
-    }
-    if (nowNanos - secondStartedNanos >= SECOND_NANOS) {
-      secondStartedNanos = nowNanos;
-      lines = 0;
-    }
-    if (lines >= MAX_LINES_PER_SECOND) {
-      leftOut++;
+    LineBudget budget = request.attempts == 0 ? unsentLines : sentLines;
+    if (isWarmUp(request) || !budget.tryAcquire(nowNanos)) {
       return;
     }
-    lines++;
     log.info(
         "request_not_served",
         field("id", request.request.id()),
@@ -60,7 +55,40 @@
         field("end", end),
         field("reason", reason),
         field("attempts", request.attempts),
-        field("left_out", leftOut));
-    leftOut = 0;
+        field("last_outcome", request.lastOutcome == null ? "none" : request.lastOutcome),
+        field("left_out", budget.takeLeftOut()));
+  }
+
+  /**
+   * Logs that the rest of a response is given up: its attempt ends, or its client's connection is
+   * reset if a part was streamed.
+   *
+   * @param streamed whether a part of it was passed on to the client
+   * @param lateNanos the time since the client's deadline; negative before it
+   */
+  void responseGivenUp(
+      InFlightRequest request,
+      String endpointId,
+      ResponseProgress progress,
+      boolean streamed,
+      long lateNanos,
+      long nowNanos) {
+    if (isWarmUp(request) || !responseLines.tryAcquire(nowNanos)) {
+      return;
+    }
+    log.info(
+        "response_given_up",
+        field("id", request.request.id()),
+        field("endpoint", endpointId),
+        field("streamed", streamed),
+        field("declared_bytes", progress.declaredBytes()),
+        field("received_bytes", progress.receivedBytes()),
+        field("silent_ms", TimeUnit.NANOSECONDS.toMillis(progress.silentNanos())),
+        field("late_ms", TimeUnit.NANOSECONDS.toMillis(lateNanos)),
+        field("left_out", responseLines.takeLeftOut()));
+  }
+
+  private static boolean isWarmUp(InFlightRequest request) {
+    return request.request.id().startsWith(WarmUp.ID_PREFIX);
   }
 }
--- a/edge/src/main/java/edgegateway/node/metrics/NodeMetrics.java
+++ b/edge/src/main/java/edgegateway/node/metrics/NodeMetrics.java
@@ -48,11 +48,13 @@
 
   private volatile long lastDiscoveryMessageNanos = System.nanoTime();
 
-  /** Written on the event loop only, as is {@link #longestDiscoveryWaitNanos}. */
+  /** Written on the event loop only, as are the other longest times. */
   private volatile long longestLoopStallNanos;
 
   private volatile long longestDiscoveryWaitNanos;
 
+  private volatile long longestResponsePauseNanos;
+
   /** Null if only operators eject zones. */
   private volatile ZoneMetrics zones;
 
@@ -137,6 +139,11 @@
     longestDiscoveryWaitNanos = Math.max(longestDiscoveryWaitNanos, waitNanos);
   }
 
+  /** Records how long an archive server paused within a response before it went on. */
+  public void responseContinued(long pauseNanos) {
+    longestResponsePauseNanos = Math.max(longestResponsePauseNanos, pauseNanos);
+  }
+
   /** The longest stall of the event loop since the process started, in milliseconds. */
   public long longestLoopStallMillis() {
     return TimeUnit.NANOSECONDS.toMillis(longestLoopStallNanos);
@@ -168,6 +175,10 @@
     appendLine(text, "discovery.silent_ms", millisSinceDiscoveryMessage());
     appendLine(text, "discovery.longest_wait_ms", longestDiscoveryWaitMillis());
     appendLine(text, "loop.longest_standstill_ms", longestLoopStallMillis());
+    appendLine(
+        text,
+        "responses.longest_pause_ms",
+        TimeUnit.NANOSECONDS.toMillis(longestResponsePauseNanos));
     Runtime jvm = Runtime.getRuntime();
     appendLine(text, "memory.heap_used_bytes", jvm.totalMemory() - jvm.freeMemory());
     appendLine(text, "memory.direct_used_bytes", PlatformDependent.usedDirectMemory());
--- a/edge/src/main/java/edgegateway/node/requests/AttemptListener.java
+++ b/edge/src/main/java/edgegateway/node/requests/AttemptListener.java
@@ -1,8 +1,10 @@
 package edgegateway.node.requests;
 
 import edgegateway.policy.api.Outcome;
+import edgegateway.policy.api.ResponseProgress;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import java.util.function.Supplier;
 
 /**
  * Receives the results of attempts from the upstream side. All methods are called on the event
@@ -33,11 +35,12 @@
 
   /**
    * Whether an incomplete response is streamed from now on, as the attempt's timeout has expired.
+   * If not, the attempt is ended.
    *
-   * @param declaredBytes the body's declared length; -1 if the response does not declare one
-   * @param silentNanos how long the server has sent nothing
+   * @param endpointId the endpoint's id
+   * @param progress how far the response has come
    */
-  boolean streamsAtTimeout(long declaredBytes, long silentNanos);
+  boolean streamsAtTimeout(InFlightRequest request, String endpointId, ResponseProgress progress);
 
   /**
    * Called when a response that is too long to be buffered begins; the policy counts the attempt as
@@ -46,7 +49,7 @@
    * @param length the body's length in bytes; -1 if the response does not declare one
    * @param durationNanos time since the attempt was sent
    * @param endpointId the endpoint's id
-   * @param progress how much of the response has been received
+   * @param progress how far the response has come, whenever it is asked
    * @param onClientDisconnect run if the client disconnects before the response has ended
    * @return the client's channel, to which the body is written; null if the request already has a
    *     response
@@ -56,6 +59,6 @@
       long length,
       long durationNanos,
       String endpointId,
-      StreamProgress progress,
+      Supplier<ResponseProgress> progress,
       Runnable onClientDisconnect);
 }
--- a/edge/src/main/java/edgegateway/node/requests/InFlightRequest.java
+++ b/edge/src/main/java/edgegateway/node/requests/InFlightRequest.java
@@ -1,6 +1,7 @@
 package edgegateway.node.requests;
 
 import edgegateway.node.connections.BufferedBodies;
+import edgegateway.policy.api.Outcome;
 import edgegateway.policy.api.Request;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -131,6 +132,9 @@
   /** Whether an attempt is in flight. */
   public boolean attemptInFlight;
 
+  /** How the last attempt ended; null if none has ended. */
+  public Outcome lastOutcome;
+
   /**
    * Cancels the attempt in flight unless writing its request has begun; null if no attempt is in
    * flight.
--- a/edge/src/main/java/edgegateway/node/upstream/UpstreamConnectionHandler.java
+++ b/edge/src/main/java/edgegateway/node/upstream/UpstreamConnectionHandler.java
@@ -5,8 +5,8 @@
 import edgegateway.node.connections.TransportHandle;
 import edgegateway.node.connections.UpstreamConnection;
 import edgegateway.node.requests.BodyRelay;
-import edgegateway.node.requests.StreamProgress;
 import edgegateway.policy.api.Outcome;
+import edgegateway.policy.api.ResponseProgress;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -100,12 +100,11 @@
     if (response == null || relay != null || !UpstreamResponseClassifier.isSuccess(response)) {
       return false;
     }
-    long declaredBytes = HttpUtil.getContentLength(response, -1L);
-    long silentNanos = System.nanoTime() - lastReceivedNanos;
-    if (!context.listener().streamsAtTimeout(declaredBytes, silentNanos)) {
+    ResponseProgress progress = progress();
+    if (!context.listener().streamsAtTimeout(attempt.request(), attempt.endpointId(), progress)) {
       return false;
     }
-    startStreaming(declaredBytes);
+    startStreaming(progress.declaredBytes());
     if (relay != null) {
       relay.readComplete();
     }
@@ -134,6 +133,9 @@
       fail();
       return;
     }
+    if (response != null) {
+      context.metrics().responseContinued(silentNanos());
+    }
     lastReceivedNanos = System.nanoTime();
     if (message instanceof HttpResponse head && !headReceived(head)) {
       fail();
@@ -210,7 +212,7 @@
                 contentLength,
                 streamedAttempt.elapsedNanos(),
                 streamedAttempt.endpointId(),
-                new RelayProgress(),
+                this::progress,
                 channel::close);
     if (client == null) {
       streamedAttempt.cancel();
@@ -226,17 +228,20 @@
     }
   }
 
-  /** The progress of the response that is streamed now; of an ended one as long as it is unused. */
-  private final class RelayProgress implements StreamProgress {
-    @Override
-    public long receivedBytes() {
-      return relay == null ? 0 : relay.receivedBytes();
-    }
+  /** How far the response to the attempt has come. */
+  private ResponseProgress progress() {
+    long declaredBytes =
+        response == null
+            ? ResponseProgress.UNKNOWN_LENGTH
+            : HttpUtil.getContentLength(response, ResponseProgress.UNKNOWN_LENGTH);
+    long bufferedBytes = body == null ? 0 : body.readableBytes();
+    long receivedBytes = relay == null ? bufferedBytes : relay.receivedBytes();
+    return new ResponseProgress(declaredBytes, receivedBytes, silentNanos());
+  }
 
-    @Override
-    public long silentNanos() {
-      return relay == null ? 0 : relay.sourceSilentNanos();
-    }
+  /** How long the server has sent nothing although it was read. */
+  private long silentNanos() {
+    return relay == null ? System.nanoTime() - lastReceivedNanos : relay.sourceSilentNanos();
   }
 
   /**
--- a/edge/src/main/java/edgegateway/policy/GatewayPolicy.java
+++ b/edge/src/main/java/edgegateway/policy/GatewayPolicy.java
@@ -8,6 +8,7 @@
 import edgegateway.policy.api.PolicyEvents;
 import edgegateway.policy.api.PolicySettings;
 import edgegateway.policy.api.Request;
+import edgegateway.policy.api.ResponseProgress;
 import edgegateway.policy.api.StateTransfer;
 import edgegateway.policy.api.TrafficRamp;
 import edgegateway.policy.api.ZoneHealth;
@@ -177,14 +178,13 @@
   }
 
   /** See {@link LongResponses#streamsAtTimeout}. */
-  public static boolean streamsAtTimeout(long declaredBytes, long silentNanos) {
-    return LongResponses.streamsAtTimeout(declaredBytes, silentNanos);
+  public static boolean streamsAtTimeout(ResponseProgress progress) {
+    return LongResponses.streamsAtTimeout(progress);
   }
 
   /** See {@link LongResponses#goesOnAfterDeadline}. */
-  public static boolean goesOnAfterDeadline(
-      long declaredBytes, long receivedBytes, long silentNanos, long lateNanos) {
-    return LongResponses.goesOnAfterDeadline(declaredBytes, receivedBytes, silentNanos, lateNanos);
+  public static boolean goesOnAfterDeadline(ResponseProgress progress, long lateNanos) {
+    return LongResponses.goesOnAfterDeadline(progress, lateNanos);
   }
 
   /** Updates the limits and sends queued requests after a change of the selectable endpoints. */
--- /dev/null
+++ b/edge/src/main/java/edgegateway/policy/api/ResponseProgress.java
@@ -0,0 +1,13 @@
+package edgegateway.policy.api;
+
+/**
+ * How far the body of a response has come.
+ *
+ * @param declaredBytes its declared length, or {@link #UNKNOWN_LENGTH}
+ * @param receivedBytes how much of it the archive server has sent
+ * @param silentNanos how long the archive server has sent nothing although it was read
+ */
+public record ResponseProgress(long declaredBytes, long receivedBytes, long silentNanos) {
+  /** Stands for the length of a response that declares none. */
+  public static final long UNKNOWN_LENGTH = -1;
+}
--- a/edge/src/main/java/edgegateway/policy/retry/LongResponses.java
+++ b/edge/src/main/java/edgegateway/policy/retry/LongResponses.java
@@ -1,5 +1,6 @@
 package edgegateway.policy.retry;
 
+import edgegateway.policy.api.ResponseProgress;
 import edgegateway.policy.time.Durations;
 
 /**
@@ -14,9 +15,6 @@
   /** No response is longer, so one that exceeds this after its deadline is faulty, in bytes. */
   static final long MAX_BYTES = 32 << 20;
 
-  /** Stands for the length of a response that declares none. */
-  public static final long UNKNOWN_LENGTH = -1;
-
   private static final long MAX_PAUSE_BEFORE_STREAMING_NANOS =
       600 * Durations.NANOS_PER_MILLISECOND;
   private static final long MAX_PAUSE_NANOS = 1_500 * Durations.NANOS_PER_MILLISECOND;
@@ -30,32 +28,32 @@
    * Whether a response that is incomplete at the timeout of its attempt is streamed to the client
    * from now on, instead of being cut off.
    *
-   * @param declaredBytes the declared length, or {@link #UNKNOWN_LENGTH}
-   * @param silentNanos how long the server has sent nothing
+   * @param progress how far the response has come
    */
-  public static boolean streamsAtTimeout(long declaredBytes, long silentNanos) {
-    boolean mayBeLong = declaredBytes == UNKNOWN_LENGTH || declaredBytes > MAX_SHORT_BYTES;
-    return mayBeLong && silentNanos <= MAX_PAUSE_BEFORE_STREAMING_NANOS;
+  public static boolean streamsAtTimeout(ResponseProgress progress) {
+    long declaredBytes = progress.declaredBytes();
+    boolean mayBeLong =
+        declaredBytes == ResponseProgress.UNKNOWN_LENGTH || declaredBytes > MAX_SHORT_BYTES;
+    return mayBeLong && progress.silentNanos() <= MAX_PAUSE_BEFORE_STREAMING_NANOS;
   }
 
   /**
    * Whether a streamed response that is incomplete at or after the client's deadline goes on.
    *
-   * @param declaredBytes the declared length, or {@link #UNKNOWN_LENGTH}
-   * @param receivedBytes the length of what the server has sent
-   * @param silentNanos how long the server has sent nothing although it was read
+   * @param progress how far the response has come
    * @param lateNanos the time since the client's deadline
    */
-  public static boolean goesOnAfterDeadline(
-      long declaredBytes, long receivedBytes, long silentNanos, long lateNanos) {
+  public static boolean goesOnAfterDeadline(ResponseProgress progress, long lateNanos) {
+    long declaredBytes = progress.declaredBytes();
+    long receivedBytes = progress.receivedBytes();
     if (Math.max(declaredBytes, receivedBytes) > MAX_BYTES) {
       return false;
     }
     if (declaredBytes > MAX_SHORT_BYTES || receivedBytes > MAX_SHORT_BYTES) {
-      return silentNanos <= MAX_PAUSE_NANOS;
+      return progress.silentNanos() <= MAX_PAUSE_NANOS;
     }
-    return declaredBytes == UNKNOWN_LENGTH
-        && silentNanos <= MAX_LATENESS_OF_SHORT_NANOS
+    return declaredBytes == ResponseProgress.UNKNOWN_LENGTH
+        && progress.silentNanos() <= MAX_LATENESS_OF_SHORT_NANOS
         && lateNanos <= MAX_LATENESS_OF_SHORT_NANOS;
   }
 }
--- a/edge/src/test/java/edgegateway/node/upstream/UpstreamConnectionHandlerTest.java
+++ b/edge/src/test/java/edgegateway/node/upstream/UpstreamConnectionHandlerTest.java
@@ -17,11 +17,11 @@
 import edgegateway.node.requests.AttemptListener;
 import edgegateway.node.requests.BodyRelay;
 import edgegateway.node.requests.InFlightRequest;
-import edgegateway.node.requests.StreamProgress;
 import edgegateway.policy.api.Idempotency;
 import edgegateway.policy.api.Outcome;
 import edgegateway.policy.api.Request;
 import edgegateway.policy.api.RequestClass;
+import edgegateway.policy.api.ResponseProgress;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -35,6 +35,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 
 /** Tests one connection and its attempts on an in-memory channel. */
@@ -99,14 +100,15 @@
       long length,
       long durationNanos,
       String server,
-      StreamProgress progress,
+      Supplier<ResponseProgress> progress,
       Runnable onClientDisconnect) {
     results.add(request.request.id() + " forwarded " + length);
     return null;
   }
 
   @Override
-  public boolean streamsAtTimeout(long declaredBytes, long silentNanos) {
+  public boolean streamsAtTimeout(
+      InFlightRequest request, String endpointId, ResponseProgress progress) {
     return false;
   }
 
--- a/edge/src/test/java/edgegateway/policy/retry/LongResponsesTest.java
+++ b/edge/src/test/java/edgegateway/policy/retry/LongResponsesTest.java
@@ -1,9 +1,11 @@
 package edgegateway.policy.retry;
 
+import static edgegateway.policy.api.ResponseProgress.UNKNOWN_LENGTH;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import edgegateway.policy.api.ResponseProgress;
 import org.junit.jupiter.api.Test;
 
 /** Tests which responses go on after their time. */
@@ -12,36 +14,46 @@
   private static final long KIB = 1 << 10;
   private static final long MIB = 1 << 20;
 
+  private static boolean streamsAtTimeout(long declaredBytes, long silentNanos) {
+    return LongResponses.streamsAtTimeout(new ResponseProgress(declaredBytes, 0, silentNanos));
+  }
+
+  private static boolean goesOnAfterDeadline(
+      long declaredBytes, long receivedBytes, long silentNanos, long lateNanos) {
+    return LongResponses.goesOnAfterDeadline(
+        new ResponseProgress(declaredBytes, receivedBytes, silentNanos), lateNanos);
+  }
+
   @Test
   void onlyAResponseThatMayBeLongIsStreamedAtTheTimeout() {
-    assertFalse(LongResponses.streamsAtTimeout(64 * KIB, 0));
-    assertTrue(LongResponses.streamsAtTimeout(64 * KIB + 1, 0));
-    assertTrue(LongResponses.streamsAtTimeout(LongResponses.UNKNOWN_LENGTH, 500 * MILLI));
+    assertFalse(streamsAtTimeout(64 * KIB, 0));
+    assertTrue(streamsAtTimeout(64 * KIB + 1, 0));
+    assertTrue(streamsAtTimeout(UNKNOWN_LENGTH, 500 * MILLI));
   }
 
   @Test
   void theResponseOfAServerThatStoppedIsCutOffAtTheTimeout() {
-    assertFalse(LongResponses.streamsAtTimeout(MIB, 601 * MILLI));
+    assertFalse(streamsAtTimeout(MIB, 601 * MILLI));
   }
 
   @Test
   void aLongResponseGoesOnAfterItsDeadlineWhileTheServerSends() {
-    assertTrue(LongResponses.goesOnAfterDeadline(MIB, 0, 500 * MILLI, 10_000 * MILLI));
-    assertTrue(LongResponses.goesOnAfterDeadline(-1, 65 * KIB, 500 * MILLI, 10_000 * MILLI));
-    assertFalse(LongResponses.goesOnAfterDeadline(MIB, 0, 1_501 * MILLI, 0));
+    assertTrue(goesOnAfterDeadline(MIB, 0, 500 * MILLI, 10_000 * MILLI));
+    assertTrue(goesOnAfterDeadline(UNKNOWN_LENGTH, 65 * KIB, 500 * MILLI, 10_000 * MILLI));
+    assertFalse(goesOnAfterDeadline(MIB, 0, 1_501 * MILLI, 0));
   }
 
   @Test
   void aShortResponseIsCompleteOrCutOffHalfASecondAfterItsDeadline() {
-    assertFalse(LongResponses.goesOnAfterDeadline(KIB, 10, 0, 0));
-    assertTrue(LongResponses.goesOnAfterDeadline(-1, 10 * KIB, 0, 300 * MILLI));
-    assertFalse(LongResponses.goesOnAfterDeadline(-1, 10 * KIB, 0, 401 * MILLI));
+    assertFalse(goesOnAfterDeadline(KIB, 10, 0, 0));
+    assertTrue(goesOnAfterDeadline(UNKNOWN_LENGTH, 10 * KIB, 0, 300 * MILLI));
+    assertFalse(goesOnAfterDeadline(UNKNOWN_LENGTH, 10 * KIB, 0, 401 * MILLI));
   }
 
   @Test
   void aResponseLongerThanAnySoundOneIsCutOff() {
     assertEquals(32 * MIB, LongResponses.MAX_BYTES);
-    assertFalse(LongResponses.goesOnAfterDeadline(32 * MIB + 1, 0, 0, 0));
-    assertFalse(LongResponses.goesOnAfterDeadline(-1, 32 * MIB + 1, 0, 0));
+    assertFalse(goesOnAfterDeadline(32 * MIB + 1, 0, 0, 0));
+    assertFalse(goesOnAfterDeadline(UNKNOWN_LENGTH, 32 * MIB + 1, 0, 0));
   }
 }
