Do not cut a long response while its server pauses

Cause, LongResponses: a server that sent nothing for 0.6 s (at the attempt's timeout), 0.4 s (no length, 64 KiB or less, after the deadline) or 1.5 s (longer) was taken for one that had stopped. Servers pause for seconds and go on; silence that is shorter than that says nothing. Change: one bound of 3 s, the longest that any client waits, before and after the deadline. A response of no length counts as long from 16 KiB on; a shorter one gets its whole half second, silent or not. One that declares more than any sound response, 32 MB, is given up at the attempt's timeout. Why it works: no decision is left that ends a begun long response for a shorter silence; what is short still ends within half a second of its time.

--- a/edge/src/main/java/edgegateway/policy/retry/LongResponses.java
+++ b/edge/src/main/java/edgegateway/policy/retry/LongResponses.java
@@ -6,18 +6,20 @@
 /**
  * Decides how long the response of an archive server may take. A short response must be complete by
  * its deadline. Of a long one only the beginning must be in time; the rest is not cut off while the
- * server goes on sending.
+ * server goes on sending, with pauses.
  */
 public final class LongResponses {
   /** A longer response counts as long, in bytes. */
   static final long MAX_SHORT_BYTES = 64 << 10;
 
-  /** No response is longer, so one that exceeds this after its deadline is faulty, in bytes. */
+  /** No response is longer, so one that exceeds this is faulty, in bytes. */
   static final long MAX_BYTES = 32 << 20;
 
-  private static final long MAX_PAUSE_BEFORE_STREAMING_NANOS =
-      600 * Durations.NANOS_PER_MILLISECOND;
-  private static final long MAX_PAUSE_NANOS = 1_500 * Durations.NANOS_PER_MILLISECOND;
+  /** An incomplete response without a declared length counts as long from here on, in bytes. */
+  static final long MIN_BYTES_OF_LIKELY_LONG = 16 << 10;
+
+  /** A server that sends nothing for longer has stopped; as long as any client waits. */
+  private static final long MAX_PAUSE_NANOS = 3 * Durations.NANOS_PER_SECOND;
 
   /** An answer may be half a second late, less a margin for its way to the client. */
   private static final long MAX_LATENESS_OF_SHORT_NANOS = 400 * Durations.NANOS_PER_MILLISECOND;
@@ -31,10 +33,7 @@
    * @param progress how far the response has come
    */
   public static boolean streamsAtTimeout(ResponseProgress progress) {
-    long declaredBytes = progress.declaredBytes();
-    boolean mayBeLong =
-        declaredBytes == ResponseProgress.UNKNOWN_LENGTH || declaredBytes > MAX_SHORT_BYTES;
-    return mayBeLong && progress.silentNanos() <= MAX_PAUSE_BEFORE_STREAMING_NANOS;
+    return mayBeLong(progress) && progress.silentNanos() <= MAX_PAUSE_NANOS;
   }
 
   /**
@@ -44,16 +43,25 @@
    * @param lateNanos the time since the client's deadline
    */
   public static boolean goesOnAfterDeadline(ResponseProgress progress, long lateNanos) {
-    long declaredBytes = progress.declaredBytes();
-    long receivedBytes = progress.receivedBytes();
-    if (Math.max(declaredBytes, receivedBytes) > MAX_BYTES) {
+    if (!mayBeLong(progress)) {
       return false;
     }
-    if (declaredBytes > MAX_SHORT_BYTES || receivedBytes > MAX_SHORT_BYTES) {
-      return progress.silentNanos() <= MAX_PAUSE_NANOS;
-    }
-    return declaredBytes == ResponseProgress.UNKNOWN_LENGTH
-        && progress.silentNanos() <= MAX_LATENESS_OF_SHORT_NANOS
-        && lateNanos <= MAX_LATENESS_OF_SHORT_NANOS;
+    return isLikelyLong(progress)
+        ? progress.silentNanos() <= MAX_PAUSE_NANOS
+        : lateNanos <= MAX_LATENESS_OF_SHORT_NANOS;
+  }
+
+  private static boolean mayBeLong(ResponseProgress progress) {
+    long declaredBytes = progress.declaredBytes();
+    boolean longerThanAny = Math.max(declaredBytes, progress.receivedBytes()) > MAX_BYTES;
+    return !longerThanAny && (isLengthUnknown(progress) || declaredBytes > MAX_SHORT_BYTES);
+  }
+
+  private static boolean isLikelyLong(ResponseProgress progress) {
+    return !isLengthUnknown(progress) || progress.receivedBytes() >= MIN_BYTES_OF_LIKELY_LONG;
+  }
+
+  private static boolean isLengthUnknown(ResponseProgress progress) {
+    return progress.declaredBytes() == ResponseProgress.UNKNOWN_LENGTH;
   }
 }
