Pass on the beginning of a long response that its server interrupts for seconds

Callers would see: the first bytes of a long response come only when the server goes on, up to the attempt's timeout later. Cause: up to 64 KiB of a body are buffered until more arrives or the attempt times out, which for a class with late value is the client's deadline. Change: LongResponses#streamsBuffered: 16 KiB or more of a response that may be long are passed on when their first byte has been buffered for 1 s, checked every 0.5 s. Fewer bytes are held as before, so that a response which only declares a great length can still be answered with an error. Result: SlowServerTest#theBeginningOfALongResponseIsNotHeldBackForSeconds, three framings, a pause of 2.5 s: first bytes after 2,510 to 2,516 ms before (failed), under 2 s now.

--- a/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
+++ b/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
@@ -216,6 +216,11 @@
     return client;
   }
 
+  @Override
+  public boolean streamsBuffered(ResponseProgress progress, long heldNanos) {
+    return GatewayPolicy.streamsBuffered(progress, heldNanos);
+  }
+
   @Override
   public boolean streamsAtTimeout(
       InFlightRequest request, String endpointId, ResponseProgress progress) {
--- a/edge/src/main/java/edgegateway/node/requests/AttemptListener.java
+++ b/edge/src/main/java/edgegateway/node/requests/AttemptListener.java
@@ -33,6 +33,14 @@
       double actualUnits,
       ByteBuf body);
 
+  /**
+   * Whether an incomplete response that is buffered is streamed from now on.
+   *
+   * @param progress how far the response has come
+   * @param heldNanos how long its first bytes have been buffered
+   */
+  boolean streamsBuffered(ResponseProgress progress, long heldNanos);
+
   /**
    * Whether an incomplete response is streamed from now on, as the attempt's timeout has expired.
    * If not, the attempt is ended.
--- a/edge/src/main/java/edgegateway/node/upstream/UpstreamConnectionHandler.java
+++ b/edge/src/main/java/edgegateway/node/upstream/UpstreamConnectionHandler.java
@@ -17,6 +17,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Last channel handler of a connection to an archive server: writes the request of one attempt at a
@@ -27,6 +29,7 @@
 final class UpstreamConnectionHandler extends SimpleChannelInboundHandler<HttpObject>
     implements TransportHandle {
   private static final int INITIAL_BODY_BUFFER_BYTES = 512;
+  private static final long HOLD_CHECK_INTERVAL_MILLIS = 500;
 
   private final UpstreamContext context;
   private final StrictHttpResponseDecoder decoder;
@@ -62,6 +65,12 @@
   /** Streams a long response body to the client; null while the body is buffered. */
   private BodyRelay relay;
 
+  /** When the first bytes of {@link #body} arrived. */
+  private long bodyStartedNanos;
+
+  /** Checks whether {@link #body} is streamed; null if the response is complete or not buffered. */
+  private Future<?> holdCheck;
+
   /** When a part of the response last arrived. */
   private long lastReceivedNanos;
 
@@ -104,11 +113,41 @@
     if (!context.listener().streamsAtTimeout(attempt.request(), attempt.endpointId(), progress)) {
       return false;
     }
-    startStreaming(progress.declaredBytes());
+    streamBetweenReads();
+    return true;
+  }
+
+  /** Starts to stream the response while no read of the connection is in progress. */
+  private void streamBetweenReads() {
+    startStreaming(progress().declaredBytes());
     if (relay != null) {
       relay.readComplete();
     }
-    return true;
+  }
+
+  /** Checks from time to time whether the beginning of a long response is buffered for too long. */
+  private void scheduleHoldCheck() {
+    holdCheck =
+        context.loop().schedule(this::checkHold, HOLD_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void checkHold() {
+    holdCheck = null;
+    if (attempt == null || body == null) {
+      return;
+    }
+    if (context.listener().streamsBuffered(progress(), System.nanoTime() - bodyStartedNanos)) {
+      streamBetweenReads();
+    } else {
+      scheduleHoldCheck();
+    }
+  }
+
+  private void cancelHoldCheck() {
+    if (holdCheck != null) {
+      holdCheck.cancel(false);
+      holdCheck = null;
+    }
   }
 
   /** Called when the attempt ended before its response was complete. */
@@ -184,6 +223,7 @@
               .alloc()
               .buffer((int) Math.min(UpstreamPool.MAX_BUFFERED_RESPONSE_BYTES, wantedBytes));
       bodyAccount = context.bufferedBodies().newBody(attempt.request().request.customer());
+      bodyStartedNanos = System.nanoTime();
     }
     body.writeBytes(chunk);
     boolean withinMemoryLimit = bodyAccount.tryResize(body.capacity());
@@ -224,6 +264,7 @@
     if (body != null) {
       relay.forward(body);
       body = null;
+      cancelHoldCheck();
       bodyAccount.release();
     }
   }
@@ -256,6 +297,8 @@
     }
     if (responseComplete) {
       finish();
+    } else if (body != null && holdCheck == null) {
+      scheduleHoldCheck();
     } else if (attempt == null && decoder.hasUndecodedBytes()) {
       handlerContext.close();
     }
@@ -295,6 +338,7 @@
   }
 
   private void resetForNextAttempt() {
+    cancelHoldCheck();
     response = null;
     body = null;
     bodyAccount = null;
@@ -334,6 +378,7 @@
   }
 
   private void releaseBody() {
+    cancelHoldCheck();
     if (body != null) {
       body.release();
       body = null;
--- a/edge/src/main/java/edgegateway/policy/GatewayPolicy.java
+++ b/edge/src/main/java/edgegateway/policy/GatewayPolicy.java
@@ -177,6 +177,11 @@
     endpointsChanged();
   }
 
+  /** See {@link LongResponses#streamsBuffered}. */
+  public static boolean streamsBuffered(ResponseProgress progress, long heldNanos) {
+    return LongResponses.streamsBuffered(progress, heldNanos);
+  }
+
   /** See {@link LongResponses#streamsAtTimeout}. */
   public static boolean streamsAtTimeout(ResponseProgress progress) {
     return LongResponses.streamsAtTimeout(progress);
--- a/edge/src/main/java/edgegateway/policy/retry/LongResponses.java
+++ b/edge/src/main/java/edgegateway/policy/retry/LongResponses.java
@@ -15,7 +15,7 @@
   /** No response is longer, so one that exceeds this is faulty, in bytes. */
   static final long MAX_BYTES = 32 << 20;
 
-  /** An incomplete response without a declared length counts as long from here on, in bytes. */
+  /** From here on an incomplete response that may be long is taken for long, in bytes. */
   static final long MIN_BYTES_OF_LIKELY_LONG = 16 << 10;
 
   /** A server that sends nothing for longer has stopped; as long as any client waits. */
@@ -24,8 +24,24 @@
   /** An answer may be half a second late, less a margin for its way to the client. */
   private static final long MAX_LATENESS_OF_SHORT_NANOS = 400 * Durations.NANOS_PER_MILLISECOND;
 
+  /** The beginning of a long response is passed on after this, as its rest may take seconds. */
+  private static final long MAX_HOLD_NANOS = Durations.NANOS_PER_SECOND;
+
   private LongResponses() {}
 
+  /**
+   * Whether the buffered beginning of an incomplete response is streamed to the client from now on,
+   * although the attempt has time left.
+   *
+   * @param progress how far the response has come
+   * @param heldNanos how long its first bytes have been buffered
+   */
+  public static boolean streamsBuffered(ResponseProgress progress, long heldNanos) {
+    return mayBeLong(progress)
+        && progress.receivedBytes() >= MIN_BYTES_OF_LIKELY_LONG
+        && heldNanos >= MAX_HOLD_NANOS;
+  }
+
   /**
    * Whether a response that is incomplete at the timeout of its attempt is streamed to the client
    * from now on, instead of being cut off.
--- a/edge/src/test/java/edgegateway/node/SlowServerTest.java
+++ b/edge/src/test/java/edgegateway/node/SlowServerTest.java
@@ -1,6 +1,8 @@
 package edgegateway.node;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import edgegateway.node.SlowResponse.Framing;
 import java.io.IOException;
@@ -23,6 +25,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests a process of the node whose archive servers write or read slowly, with pauses. */
@@ -36,6 +39,11 @@
   /** By how much time limits are longer on sockets than in the simulator. */
   private static final int SOCKET_MILLIS = 50;
 
+  private static final int MAX_HOLD_MILLIS = 2_000;
+
+  /** Longer than any pause here. */
+  private static final int WAIT_MILLIS = 6_000;
+
   private static final int QUICK_REQUESTS = 40;
 
   /** The policy limits the attempts in flight for each member. */
@@ -58,14 +66,14 @@
     thread.start();
   }
 
-  private InetSocketAddress startNodeProcess(String server) throws Exception {
+  private InetSocketAddress startNodeProcess(String server, int objectiveMillis) throws Exception {
     String[] members = new String[MEMBERS];
     for (int i = 0; i < members.length; i++) {
       members[i] = member("s-" + i, server, "Ready", 0);
     }
     String config =
         config(members)
-            .replace("\"aim-ns\": 10000000000", "\"aim-ns\": " + OBJECTIVE_MILLIS + "000000")
+            .replace("\"aim-ns\": 10000000000", "\"aim-ns\": " + objectiveMillis + "000000")
             .replace("\"late-value\": 0.2", "\"late-value\": 0");
     Path file = Files.writeString(folder.resolve("config.json"), config);
     Process process = startProcess(file, List.of());
@@ -116,18 +124,20 @@
     }
   }
 
+  private FakePeer startSlowWriter() throws IOException {
+    return peer(
+        m -> {
+          SlowResponse response = SlowResponse.requestedBy(m.startLine());
+          if (response == null) {
+            m.answer(FakePeer.ok("", "done"));
+          } else {
+            response.send(m.socket());
+          }
+        });
+  }
+
   private void assertAllWhole(List<Exchange> exchanges) throws Exception {
-    FakePeer server =
-        peer(
-            m -> {
-              SlowResponse response = SlowResponse.requestedBy(m.startLine());
-              if (response == null) {
-                m.answer(FakePeer.ok("", "done"));
-              } else {
-                response.send(m.socket());
-              }
-            });
-    InetSocketAddress address = startNodeProcess(server.address());
+    InetSocketAddress address = startNodeProcess(startSlowWriter().address(), OBJECTIVE_MILLIS);
     List<CompletableFuture<String>> results = new ArrayList<>();
     for (Exchange exchange : exchanges) {
       String id = "t-" + results.size();
@@ -168,6 +178,26 @@
     assertAllWhole(exchanges);
   }
 
+  @ParameterizedTest
+  @EnumSource(Framing.class)
+  void theBeginningOfALongResponseIsNotHeldBackForSeconds(Framing framing) throws Exception {
+    InetSocketAddress address = startNodeProcess(startSlowWriter().address(), WAIT_MILLIS);
+    SlowResponse response = new SlowResponse(framing, 100_000, 50_000, 0, MAX_HOLD_MILLIS + 500);
+    try (Socket client = connect(address)) {
+      long startNanos = System.nanoTime();
+      sendRequest(
+          client,
+          "POST " + response.path(),
+          headers("t-1", "strict", Integer.toString(WAIT_MILLIS)),
+          "");
+      String head = readHead(client.getInputStream());
+      long firstMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+      assertTrue(head.startsWith("HTTP/1.1 200"), head);
+      assertTrue(firstMillis < MAX_HOLD_MILLIS, "first bytes after " + firstMillis + " ms");
+      assertArrayEquals(response.body(), response.readBody(head, client.getInputStream()));
+    }
+  }
+
   /**
    * A large request that its server reads slowly.
    *
@@ -280,7 +310,8 @@
   @ValueSource(ints = {0, 8_192})
   void aFinalAnswerIsInTimeThoughTheServerReadsALargeRequestSlowly(int receiveBufferBytes)
       throws Exception {
-    InetSocketAddress address = startNodeProcess(startSlowReader(receiveBufferBytes));
+    InetSocketAddress address =
+        startNodeProcess(startSlowReader(receiveBufferBytes), OBJECTIVE_MILLIS);
     List<Upload> uploads = new ArrayList<>();
     for (Framing framing : new Framing[] {Framing.LENGTH, Framing.CHUNKED}) {
       for (int bytes : new int[] {100_000, 279_042, 785_488, 923_962, 3_000_000, 7_000_000}) {
--- a/edge/src/test/java/edgegateway/node/upstream/UpstreamConnectionHandlerTest.java
+++ b/edge/src/test/java/edgegateway/node/upstream/UpstreamConnectionHandlerTest.java
@@ -106,6 +106,11 @@
     return null;
   }
 
+  @Override
+  public boolean streamsBuffered(ResponseProgress progress, long heldNanos) {
+    return false;
+  }
+
   @Override
   public boolean streamsAtTimeout(
       InFlightRequest request, String endpointId, ResponseProgress progress) {
--- a/edge/src/test/java/edgegateway/policy/retry/LongResponsesTest.java
+++ b/edge/src/test/java/edgegateway/policy/retry/LongResponsesTest.java
@@ -57,6 +57,17 @@
     assertFalse(goesOnAfterDeadline(UNKNOWN_LENGTH, 16 * KIB - 1, 0, 401 * MILLI));
   }
 
+  @Test
+  void theBeginningOfALongResponseIsNotHeldForSeconds() {
+    ResponseProgress half = new ResponseProgress(100 * KIB, 50 * KIB, 0);
+    assertFalse(LongResponses.streamsBuffered(half, 999 * MILLI));
+    assertTrue(LongResponses.streamsBuffered(half, 1_000 * MILLI));
+    ResponseProgress few = new ResponseProgress(100 * KIB, 10, 0);
+    assertFalse(LongResponses.streamsBuffered(few, 1_000 * MILLI));
+    ResponseProgress shortOne = new ResponseProgress(50 * KIB, 40 * KIB, 0);
+    assertFalse(LongResponses.streamsBuffered(shortOne, 1_000 * MILLI));
+  }
+
   @Test
   void aShortResponseIsCompleteOrCutOffHalfASecondAfterItsDeadline() {
     assertFalse(goesOnAfterDeadline(KIB, 10, 0, 0));
