Do not end an attempt while its server is writing the head of the response

Callers saw: a long response whose server writes its head slowly, in pieces, is refused at the latency objective although two thirds of the client's time are left. Cause: at the attempt's timeout a response without a complete head counted as none, though its first bytes had arrived. Change: LongResponses#headWaitNanos: such an attempt goes on until the request's deadline, unless its server is silent for 3 s. The decoder counts the bytes of the connection, as a part of a head is no message. EdgeNodeTest, RaceConditionsTest, ResponseEndTest, LongBodyTest, UpstreamConnectionHandlerTest pass.

--- a/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
+++ b/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
@@ -221,6 +221,12 @@
     return GatewayPolicy.streamsBuffered(progress, heldNanos);
   }
 
+  @Override
+  public long headWaitNanos(InFlightRequest request, long silentNanos) {
+    long policyDeadlineNanos = request.clientDeadlineNanos - POLICY_DEADLINE_MARGIN_NANOS;
+    return GatewayPolicy.headWaitNanos(silentNanos, policyDeadlineNanos - nowNanos());
+  }
+
   @Override
   public boolean streamsAtTimeout(
       InFlightRequest request, String endpointId, ResponseProgress progress) {
--- a/edge/src/main/java/edgegateway/node/connections/StrictHttpResponseDecoder.java
+++ b/edge/src/main/java/edgegateway/node/connections/StrictHttpResponseDecoder.java
@@ -1,5 +1,7 @@
 package edgegateway.node.connections;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
@@ -18,12 +20,26 @@
   private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
   private boolean readingHeaders;
+  private long receivedBytes;
 
   /** Creates the decoder of one new connection. */
   public StrictHttpResponseDecoder() {
     super(new HttpDecoderConfig().setMaxChunkSize(MAX_CHUNK_BYTES));
   }
 
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+    if (message instanceof ByteBuf bytes) {
+      receivedBytes += bytes.readableBytes();
+    }
+    super.channelRead(context, message);
+  }
+
+  /** How many bytes this connection has received. */
+  public long receivedBytes() {
+    return receivedBytes;
+  }
+
   /** True while headers are parsed: Netty is strict about header lines only in requests. */
   @Override
   protected boolean isDecodingRequest() {
--- a/edge/src/main/java/edgegateway/node/requests/AttemptListener.java
+++ b/edge/src/main/java/edgegateway/node/requests/AttemptListener.java
@@ -41,6 +41,14 @@
    */
   boolean streamsBuffered(ResponseProgress progress, long heldNanos);
 
+  /**
+   * How long an attempt whose timeout has expired goes on to wait for the rest of the head of its
+   * response, in nanoseconds. Unless it is positive, the attempt is ended.
+   *
+   * @param silentNanos how long the server has sent nothing
+   */
+  long headWaitNanos(InFlightRequest request, long silentNanos);
+
   /**
    * Whether an incomplete response is streamed from now on, as the attempt's timeout has expired.
    * If not, the attempt is ended.
--- a/edge/src/main/java/edgegateway/node/upstream/UpstreamAttempt.java
+++ b/edge/src/main/java/edgegateway/node/upstream/UpstreamAttempt.java
@@ -231,7 +231,7 @@
       // The upload is not complete: the timeout for the response starts with the last byte.
       return;
     }
-    if (written && handler.streamInsteadOfTimeout()) {
+    if (written && (waitsForHead() || handler.streamInsteadOfTimeout())) {
       return;
     }
     UpstreamConnectionHandler usedHandler = handler;
@@ -247,6 +247,16 @@
     end(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, 0, null);
   }
 
+  /** Postpones the timeout if the rest of the response's head is waited for. */
+  private boolean waitsForHead() {
+    long waitNanos = handler.headWaitNanos();
+    if (waitNanos <= 0) {
+      return false;
+    }
+    timeout = context.loop().schedule(this::timeOut, waitNanos, TimeUnit.NANOSECONDS);
+    return true;
+  }
+
   /** Ends the attempt because its request already has a response. */
   void cancel() {
     end(Outcome.CANCELLED, 0, null);
--- a/edge/src/main/java/edgegateway/node/upstream/UpstreamConnectionHandler.java
+++ b/edge/src/main/java/edgegateway/node/upstream/UpstreamConnectionHandler.java
@@ -74,6 +74,9 @@
   /** When a part of the response last arrived. */
   private long lastReceivedNanos;
 
+  /** How many bytes the connection had received when the attempt was written. */
+  private long receivedBytesBeforeAttempt;
+
   UpstreamConnectionHandler(UpstreamContext context, StrictHttpResponseDecoder decoder) {
     this.context = context;
     this.decoder = decoder;
@@ -101,6 +104,18 @@
     pooledConnection.timedOut(System.nanoTime());
   }
 
+  /**
+   * Called at the attempt's timeout: returns how long the attempt goes on to wait for the rest of
+   * the response's head, in nanoseconds; 0 or less if none of it has arrived or it is not waited
+   * for.
+   */
+  long headWaitNanos() {
+    boolean headStarted = decoder.receivedBytes() > receivedBytesBeforeAttempt;
+    return response == null && headStarted
+        ? context.listener().headWaitNanos(attempt.request(), silentNanos())
+        : 0;
+  }
+
   /**
    * Called at the attempt's timeout: streams the response from now on if it has begun and may be
    * long; returns false if the attempt is to be ended.
@@ -158,6 +173,7 @@
   /** Writes the request of an attempt. No other attempt may be using the connection. */
   void write(UpstreamAttempt next) {
     attempt = next;
+    receivedBytesBeforeAttempt = decoder.receivedBytes();
     next.connectionAssigned(this);
     UpstreamRequestWriter.write(channel, next);
   }
@@ -292,6 +308,7 @@
    */
   @Override
   public void channelReadComplete(ChannelHandlerContext handlerContext) {
+    lastReceivedNanos = System.nanoTime();
     if (relay != null) {
       relay.readComplete();
     }
--- a/edge/src/main/java/edgegateway/policy/GatewayPolicy.java
+++ b/edge/src/main/java/edgegateway/policy/GatewayPolicy.java
@@ -182,6 +182,11 @@
     return LongResponses.streamsBuffered(progress, heldNanos);
   }
 
+  /** See {@link LongResponses#headWaitNanos}. */
+  public static long headWaitNanos(long silentNanos, long untilDeadlineNanos) {
+    return LongResponses.headWaitNanos(silentNanos, untilDeadlineNanos);
+  }
+
   /** See {@link LongResponses#streamsAtTimeout}. */
   public static boolean streamsAtTimeout(ResponseProgress progress) {
     return LongResponses.streamsAtTimeout(progress);
--- a/edge/src/main/java/edgegateway/policy/retry/LongResponses.java
+++ b/edge/src/main/java/edgegateway/policy/retry/LongResponses.java
@@ -42,6 +42,17 @@
         && heldNanos >= MAX_HOLD_NANOS;
   }
 
+  /**
+   * How long an attempt whose timeout has expired goes on to wait for the rest of a response's
+   * head, in nanoseconds. Unless it is positive, the attempt is ended.
+   *
+   * @param silentNanos how long the server has sent nothing
+   * @param untilDeadlineNanos the time until the request's deadline
+   */
+  public static long headWaitNanos(long silentNanos, long untilDeadlineNanos) {
+    return Math.min(MAX_PAUSE_NANOS - silentNanos, untilDeadlineNanos);
+  }
+
   /**
    * Whether a response that is incomplete at the timeout of its attempt is streamed to the client
    * from now on, instead of being cut off.
--- a/edge/src/test/java/edgegateway/node/SlowResponse.java
+++ b/edge/src/test/java/edgegateway/node/SlowResponse.java
@@ -61,8 +61,25 @@
 
   /** Writes the response, and closes the connection if that ends the body. */
   void send(Socket socket) throws IOException, InterruptedException {
+    writeText(socket.getOutputStream(), head());
+    sendBody(socket);
+  }
+
+  private String head() {
+    return "HTTP/1.1 200 OK\r\n" + framingHeader() + "\r\n\r\n";
+  }
+
+  /** Writes the head byte by byte, in the given time. */
+  void sendHeadInPieces(Socket socket, int millis) throws IOException, InterruptedException {
+    for (char c : head().toCharArray()) {
+      writeText(socket.getOutputStream(), String.valueOf(c));
+      Thread.sleep(millis / head().length());
+    }
+  }
+
+  /** Writes the body, and closes the connection if that ends it. */
+  void sendBody(Socket socket) throws IOException, InterruptedException {
     OutputStream out = socket.getOutputStream();
-    writeText(out, "HTTP/1.1 200 OK\r\n" + framingHeader() + "\r\n\r\n");
     for (int sent = 0; sent < bytes; sent += pieceBytes) {
       Thread.sleep(sent == 0 ? firstPauseMillis : pauseMillis);
       writePiece(out, sent, Math.min(pieceBytes, bytes - sent));
--- a/edge/src/test/java/edgegateway/node/SlowServerTest.java
+++ b/edge/src/test/java/edgegateway/node/SlowServerTest.java
@@ -178,6 +178,27 @@
     assertAllWhole(exchanges);
   }
 
+  @ParameterizedTest
+  @EnumSource(Framing.class)
+  void aResponseIsNotCutOffWhileItsServerWritesTheHead(Framing framing) throws Exception {
+    SlowResponse response = new SlowResponse(framing, 149_362, 149_362, 0, 0);
+    FakePeer server =
+        peer(
+            m -> {
+              if (SlowResponse.requestedBy(m.startLine()) == null) {
+                m.answer(FakePeer.ok("", "done"));
+              } else {
+                response.sendHeadInPieces(m.socket(), 2 * OBJECTIVE_MILLIS);
+                response.sendBody(m.socket());
+              }
+            });
+    InetSocketAddress address = startNodeProcess(server.address(), OBJECTIVE_MILLIS);
+    for (String requestClass : new String[] {"lookup", "strict"}) {
+      Exchange exchange = new Exchange(requestClass, 2_281, response);
+      assertEquals("whole", exchange(address, exchange, "t-" + requestClass), requestClass);
+    }
+  }
+
   @ParameterizedTest
   @EnumSource(Framing.class)
   void theBeginningOfALongResponseIsNotHeldBackForSeconds(Framing framing) throws Exception {
--- a/edge/src/test/java/edgegateway/node/upstream/UpstreamConnectionHandlerTest.java
+++ b/edge/src/test/java/edgegateway/node/upstream/UpstreamConnectionHandlerTest.java
@@ -111,6 +111,11 @@
     return false;
   }
 
+  @Override
+  public long headWaitNanos(InFlightRequest request, long silentNanos) {
+    return 0;
+  }
+
   @Override
   public boolean streamsAtTimeout(
       InFlightRequest request, String endpointId, ResponseProgress progress) {
--- a/edge/src/test/java/edgegateway/policy/retry/LongResponsesTest.java
+++ b/edge/src/test/java/edgegateway/policy/retry/LongResponsesTest.java
@@ -68,6 +68,14 @@
     assertFalse(LongResponses.streamsBuffered(shortOne, 1_000 * MILLI));
   }
 
+  @Test
+  void theRestOfAHeadIsWaitedForUntilTheDeadlineOrTheServerStops() {
+    assertEquals(2_000 * MILLI, LongResponses.headWaitNanos(0, 2_000 * MILLI));
+    assertEquals(1_000 * MILLI, LongResponses.headWaitNanos(2_000 * MILLI, 2_000 * MILLI));
+    assertTrue(LongResponses.headWaitNanos(3_000 * MILLI, 2_000 * MILLI) <= 0);
+    assertTrue(LongResponses.headWaitNanos(0, 0) <= 0);
+  }
+
   @Test
   void aShortResponseIsCompleteOrCutOffHalfASecondAfterItsDeadline() {
     assertFalse(goesOnAfterDeadline(KIB, 10, 0, 0));
