Soak clients beside servers that write and read slowly, with signals and crowds

Cause: the soak of misbehaving clients has one shape of slow response, 70 ms between pieces, and no server that reads slowly; the release passed it and failed in pre-production. Change: SlowServersSoakTest plays a process with the deploy file's JVM options: random long responses (three framings, pieces, late bodies, pauses up to 2.5 s), large requests that servers read slowly or stop reading, SIGHUP in series, SIGTERM once or twice, the kill 3.7 s later with clients on open connections, every third seed with 400 idle clients. SlowServer, LargeUpload and DeployedNode are shared with SlowServerTest and the other soak; GreedyClientTest uses FakePeer's daemon threads.

--- a/edge/src/test/java/edgegateway/node/FakePeer.java
+++ b/edge/src/test/java/edgegateway/node/FakePeer.java
@@ -66,11 +66,13 @@
         });
   }
 
-  private interface Task {
+  /** Work of a thread that ends with its connection. */
+  interface Task {
     void run() throws IOException, InterruptedException;
   }
 
-  private static void startDaemon(Task task) {
+  /** Runs a task on a thread of its own, which ends silently when the task's socket is closed. */
+  static Thread startDaemon(Task task) {
     Thread thread =
         new Thread(
             () -> {
@@ -82,6 +84,7 @@
             });
     thread.setDaemon(true);
     thread.start();
+    return thread;
   }
 
   String address() {
--- a/edge/src/test/java/edgegateway/node/GreedyClientTest.java
+++ b/edge/src/test/java/edgegateway/node/GreedyClientTest.java
@@ -42,37 +42,19 @@
   /** Sends unsound requests and reads their responses until the socket is closed. */
   private void startGreedyClient(EdgeNode node) throws IOException {
     Socket socket = client(node);
-    startDaemon(
+    FakePeer.startDaemon(
         () -> {
           while (true) {
             socket.getOutputStream().write(UNSOUND_REQUESTS);
           }
         });
-    startDaemon(
+    FakePeer.startDaemon(
         () -> {
           byte[] buffer = new byte[1 << 16];
           while (socket.getInputStream().read(buffer) >= 0) {}
         });
   }
 
-  private interface Task {
-    void run() throws IOException;
-  }
-
-  private static void startDaemon(Task task) {
-    Thread thread =
-        new Thread(
-            () -> {
-              try {
-                task.run();
-              } catch (IOException e) {
-                // The test has ended and closed the socket.
-              }
-            });
-    thread.setDaemon(true);
-    thread.start();
-  }
-
   @Test
   void otherClientsGetTheirAnswersInTimeBesideUnsoundRequestsAtFullSpeed() throws Exception {
     EdgeNode node = startNodeWithShortObjective();
--- a/edge/src/test/java/edgegateway/node/MisbehavingClientsSoakTest.java
+++ b/edge/src/test/java/edgegateway/node/MisbehavingClientsSoakTest.java
@@ -10,7 +10,6 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -33,11 +32,6 @@
  */
 class MisbehavingClientsSoakTest extends NodeTest {
   private static final int MEMORY_MB = 96;
-  private static final String JVM_OPTIONS =
-      "JAVA_TOOL_OPTIONS=-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms28m -Xmx48m -Xmn12m"
-          + " -Xss512k -XX:MaxDirectMemorySize=32m -XX:ReservedCodeCacheSize=24m"
-          + " -Dio.netty.leakDetection.level=disabled -XX:+ExitOnOutOfMemoryError";
-
   private static final int SOUND_CLIENTS = 12;
   private static final int WAIT_MILLIS = 1_000;
   private static final int GRACE_MILLIS = 500;
@@ -49,9 +43,6 @@
   private static final int MAX_MILLIS_AFTER_CLOSE = 100;
   private static final int DEADLINE_SLACK_MILLIS = 150;
 
-  /** The longest deadline of the platform and 0.7 s. */
-  private static final int KILL_AFTER_MILLIS = 3_700;
-
   private static final int NEW_CONNECTIONS_AFTER_STOP_MILLIS = 400;
   private static final int LONG_RESPONSE_BYTES = 120_000;
 
@@ -393,15 +384,6 @@
     }
   }
 
-  private long peakMemoryMb(Process process) throws IOException {
-    for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
-      if (line.startsWith("VmHWM:")) {
-        return Long.parseLong(line.replaceAll("\\D", "")) / 1_024;
-      }
-    }
-    throw new IOException("no peak memory");
-  }
-
   @ParameterizedTest
   @MethodSource("seeds")
   @Timeout(120)
@@ -428,12 +410,8 @@
             .replace("\"sockets\": 1024", "\"sockets\": 1024, \"memory_mb\": " + MEMORY_MB)
             .replace("\"aim-ns\": 10000000000", "\"aim-ns\": 900000000")
             .replace("\"max-attempts\": 6", "\"max-attempts\": 3");
-    Path file = Files.writeString(folder.resolve("config.json"), config);
-    Path shared = Files.createDirectory(folder.resolve("shared"));
-    Process process = startProcess(file, List.of("env", JVM_OPTIONS, "TMPDIR=" + shared));
-    address = awaitListenAddress(process);
-    nextLogLine(process, "warmed_up");
-    start(() -> process.inputReader().lines().forEach(line -> {}));
+    DeployedNode node = new DeployedNode(this, folder, config);
+    address = node.address();
     List<Thread> sound = new ArrayList<>();
     for (int i = 0; i < SOUND_CLIENTS; i++) {
       int number = i;
@@ -442,21 +420,18 @@
     start(() -> probeServer(server.address()));
     startMisbehaving(random);
     Thread.sleep(random.nextInt(RUN_MILLIS / 2));
-    sendSignal(process, "HUP");
+    node.sendSignal("HUP");
     Thread.sleep(RUN_MILLIS / 2);
-    long peakMb = peakMemoryMb(process);
-    assertTrue(process.isAlive(), "the process ended by itself");
-    sendSignal(process, "TERM");
+    long peakMb = node.peakMemoryMb();
+    node.stop();
     stoppedNanos = System.nanoTime();
-    boolean exited = process.waitFor(KILL_AFTER_MILLIS, TimeUnit.MILLISECONDS);
-    killedNanos = System.nanoTime();
-    kill(process);
+    node.killAsEarlyAsAllowed();
+    killedNanos = node.killedNanos();
     ended = true;
     for (Thread client : sound) {
       client.join();
     }
     assertTrue(answered.get() > 10 * SOUND_CLIENTS, "too few answers to judge: " + answered);
     assertTrue(peakMb <= MEMORY_MB, "seed " + seed + ": peak memory " + peakMb + " MB");
-    assertEquals(0, exited ? process.exitValue() : 0, "status of a planned end");
   }
 }
--- a/edge/src/test/java/edgegateway/node/NodeTest.java
+++ b/edge/src/test/java/edgegateway/node/NodeTest.java
@@ -75,9 +75,14 @@
    * member.
    */
   static String[] asManyMembers(FakePeer server) {
+    return asManyMembers(server.address());
+  }
+
+  /** Like {@link #asManyMembers(FakePeer)}, for the server at an address. */
+  static String[] asManyMembers(String address) {
     String[] members = new String[40];
     for (int i = 0; i < members.length; i++) {
-      members[i] = member("s-" + i, server.address(), "Ready", 0);
+      members[i] = member("s-" + i, address, "Ready", 0);
     }
     return members;
   }
--- a/edge/src/test/java/edgegateway/node/SlowServerTest.java
+++ b/edge/src/test/java/edgegateway/node/SlowServerTest.java
@@ -7,10 +7,7 @@
 import edgegateway.node.SlowResponse.Framing;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -46,9 +43,6 @@
 
   private static final int QUICK_REQUESTS = 40;
 
-  /** The policy limits the attempts in flight for each member. */
-  private static final int MEMBERS = 40;
-
   @TempDir Path folder;
 
   /**
@@ -60,26 +54,16 @@
    */
   private record Exchange(String requestClass, int waitMillis, SlowResponse response) {}
 
-  private static void startDaemon(Runnable task) {
-    Thread thread = new Thread(task);
-    thread.setDaemon(true);
-    thread.start();
-  }
-
   private InetSocketAddress startNodeProcess(String server, int objectiveMillis) throws Exception {
-    String[] members = new String[MEMBERS];
-    for (int i = 0; i < members.length; i++) {
-      members[i] = member("s-" + i, server, "Ready", 0);
-    }
     String config =
-        config(members)
+        config(asManyMembers(server))
             .replace("\"aim-ns\": 10000000000", "\"aim-ns\": " + objectiveMillis + "000000")
             .replace("\"late-value\": 0.2", "\"late-value\": 0");
     Path file = Files.writeString(folder.resolve("config.json"), config);
     Process process = startProcess(file, List.of());
     InetSocketAddress address = awaitListenAddress(process);
     nextLogLine(process, "warmed_up");
-    startDaemon(() -> process.inputReader().lines().forEach(line -> {}));
+    FakePeer.startDaemon(() -> process.inputReader().lines().forEach(line -> {}));
     try (Socket client = connect(address)) {
       for (int i = 0; i < QUICK_REQUESTS; i++) {
         sendRequest(client, "GET /api", headers("quick-" + i, "lookup", "2000"), "");
@@ -124,20 +108,14 @@
     }
   }
 
-  private FakePeer startSlowWriter() throws IOException {
-    return peer(
-        m -> {
-          SlowResponse response = SlowResponse.requestedBy(m.startLine());
-          if (response == null) {
-            m.answer(FakePeer.ok("", "done"));
-          } else {
-            response.send(m.socket());
-          }
-        });
+  private SlowServer startServer(int receiveBufferBytes) throws IOException {
+    SlowServer server = new SlowServer(receiveBufferBytes);
+    toClose.add(server);
+    return server;
   }
 
   private void assertAllWhole(List<Exchange> exchanges) throws Exception {
-    InetSocketAddress address = startNodeProcess(startSlowWriter().address(), OBJECTIVE_MILLIS);
+    InetSocketAddress address = startNodeProcess(startServer(0).address(), OBJECTIVE_MILLIS);
     List<CompletableFuture<String>> results = new ArrayList<>();
     for (Exchange exchange : exchanges) {
       String id = "t-" + results.size();
@@ -202,7 +180,7 @@
   @ParameterizedTest
   @EnumSource(Framing.class)
   void theBeginningOfALongResponseIsNotHeldBackForSeconds(Framing framing) throws Exception {
-    InetSocketAddress address = startNodeProcess(startSlowWriter().address(), WAIT_MILLIS);
+    InetSocketAddress address = startNodeProcess(startServer(0).address(), WAIT_MILLIS);
     SlowResponse response = new SlowResponse(framing, 100_000, 50_000, 0, MAX_HOLD_MILLIS + 500);
     try (Socket client = connect(address)) {
       long startNanos = System.nanoTime();
@@ -219,100 +197,15 @@
     }
   }
 
-  /**
-   * A large request that its server reads slowly.
-   *
-   * @param framing of the request's body; the length or in chunks
-   * @param bytesPerSecond how fast the server reads
-   * @param maxBytes where it stops reading
-   */
-  private record Upload(
-      Framing framing, int bytes, int bytesPerSecond, int maxBytes, int waitMillis) {
-    String head(String id) {
-      StringBuilder text =
-          new StringBuilder("POST /api?read=%d,%d".formatted(bytesPerSecond, maxBytes))
-              .append(" HTTP/1.1\r\n");
-      headers(id, "order", Integer.toString(waitMillis))
-          .forEach((name, value) -> text.append(name).append(": ").append(value).append("\r\n"));
-      boolean chunked = framing == Framing.CHUNKED;
-      return text.append(chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + bytes)
-          .append(chunked ? "\r\n\r\n" + Integer.toHexString(bytes) + "\r\n" : "\r\n\r\n")
-          .toString();
-    }
-
-    void send(OutputStream out, String id) throws IOException {
-      SlowResponse.writeText(out, head(id));
-      out.write(new byte[bytes]);
-      SlowResponse.writeText(out, framing == Framing.CHUNKED ? "\r\n0\r\n\r\n" : "");
-    }
-  }
-
-  /**
-   * Starts a server that reads as the query of each request's path says.
-   *
-   * @param receiveBufferBytes size of the kernel's buffer; 0 for its default
-   */
-  private String startSlowReader(int receiveBufferBytes) throws IOException {
-    ServerSocket server = new ServerSocket();
-    if (receiveBufferBytes > 0) {
-      server.setReceiveBufferSize(receiveBufferBytes);
-    }
-    server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
-    toClose.add(server);
-    startDaemon(
-        () -> {
-          try {
-            while (true) {
-              Socket socket = server.accept();
-              startDaemon(() -> serveSlowly(socket));
-            }
-          } catch (IOException e) {
-            // The test has ended.
-          }
-        });
-    return "127.0.0.1:" + server.getLocalPort();
-  }
-
-  private static void serveSlowly(Socket socket) {
-    try (socket) {
-      InputStream in = socket.getInputStream();
-      for (String head = readHead(in); head != null; head = readHead(in)) {
-        int query = head.indexOf("?read=");
-        if (query >= 0) {
-          String[] limits = head.substring(query + "?read=".length()).split(" ")[0].split(",");
-          readSlowly(in, Integer.parseInt(limits[0]), Integer.parseInt(limits[1]));
-          return;
-        }
-        SlowResponse.writeText(socket.getOutputStream(), FakePeer.ok("", "done"));
-      }
-    } catch (IOException | InterruptedException e) {
-      // The node closed the connection.
-    }
-  }
-
-  private static void readSlowly(InputStream in, int bytesPerSecond, int maxBytes)
-      throws IOException, InterruptedException {
-    for (int read = 0; read < maxBytes; read += bytesPerSecond / 50) {
-      if (in.readNBytes(Math.min(bytesPerSecond / 50, maxBytes - read)).length == 0) {
-        return;
-      }
-      Thread.sleep(20);
-    }
-    new CompletableFuture<>().join();
-  }
-
   /** Sends a large request; returns what went wrong, or {@code in time}. */
-  private String upload(InetSocketAddress address, Upload upload, String id) {
+  private String upload(InetSocketAddress address, LargeUpload upload, String id) {
     try (Socket client = connect(address)) {
       AtomicLong sentNanos = new AtomicLong(Long.MAX_VALUE);
-      startDaemon(
+      Map<String, String> headers = headers(id, "order", Integer.toString(upload.waitMillis()));
+      FakePeer.startDaemon(
           () -> {
-            try {
-              upload.send(client.getOutputStream(), id);
-              sentNanos.set(System.nanoTime());
-            } catch (IOException e) {
-              // The node answered and closed before it read all of the body.
-            }
+            upload.send(client.getOutputStream(), headers);
+            sentNanos.set(System.nanoTime());
           });
       FakePeer.Message response = readFinal(client);
       long lateMillis =
@@ -332,17 +225,17 @@
   void aFinalAnswerIsInTimeThoughTheServerReadsALargeRequestSlowly(int receiveBufferBytes)
       throws Exception {
     InetSocketAddress address =
-        startNodeProcess(startSlowReader(receiveBufferBytes), OBJECTIVE_MILLIS);
-    List<Upload> uploads = new ArrayList<>();
+        startNodeProcess(startServer(receiveBufferBytes).address(), OBJECTIVE_MILLIS);
+    List<LargeUpload> uploads = new ArrayList<>();
     for (Framing framing : new Framing[] {Framing.LENGTH, Framing.CHUNKED}) {
       for (int bytes : new int[] {100_000, 279_042, 785_488, 923_962, 3_000_000, 7_000_000}) {
-        uploads.add(new Upload(framing, bytes, 1_000_000, 17_189, 593));
-        uploads.add(new Upload(framing, bytes, 99_983, Integer.MAX_VALUE, 570));
-        uploads.add(new Upload(framing, bytes, 20_000, Integer.MAX_VALUE, 2_300));
+        uploads.add(new LargeUpload(framing, bytes, 1_000_000, 17_189, 593));
+        uploads.add(new LargeUpload(framing, bytes, 99_983, Integer.MAX_VALUE, 570));
+        uploads.add(new LargeUpload(framing, bytes, 20_000, Integer.MAX_VALUE, 2_300));
       }
     }
     List<CompletableFuture<String>> results = new ArrayList<>();
-    for (Upload upload : uploads) {
+    for (LargeUpload upload : uploads) {
       String id = "t-" + results.size();
       results.add(
           CompletableFuture.supplyAsync(
