Wait for discovery's response while it may only be slow or comes in pieces

Change: of three open watches the first is kept until it has received no byte for 5 s; the second gives way meanwhile, so that calls that hang are still replaced each second. A watch at an old address gives way first, as before. WatchHandlerTest, DiscoveryRaceTest, ListsTest pass.

--- a/edge/src/main/java/edgegateway/node/discovery/DiscoveryClient.java
+++ b/edge/src/main/java/edgegateway/node/discovery/DiscoveryClient.java
@@ -167,6 +167,11 @@
     }
   }
 
+  @Override
+  public void bytesReceived(WatchScheduler.Watch watch) {
+    scheduler.bytesReceived(System.nanoTime(), watch);
+  }
+
   @Override
   public void keepAliveReceived(WatchScheduler.Watch watch) {
     if (scheduler.eventReceived(System.nanoTime(), watch)) {
--- a/edge/src/main/java/edgegateway/node/discovery/WatchHandler.java
+++ b/edge/src/main/java/edgegateway/node/discovery/WatchHandler.java
@@ -62,6 +62,9 @@
     // After a close, the remaining parts of the same read still arrive. They are dropped, because
     // the body of an error response is not an endpoint list.
     ended |= !watch.isOpen() || part.decoderResult().isFailure() || isErrorResponse(part);
+    if (!ended) {
+      listener.bytesReceived(watch);
+    }
     if (!ended && part instanceof HttpContent content) {
       objects.append(ByteBufUtil.getBytes(content.content()));
     }
--- a/edge/src/main/java/edgegateway/node/discovery/WatchScheduler.java
+++ b/edge/src/main/java/edgegateway/node/discovery/WatchScheduler.java
@@ -24,6 +24,12 @@
   /** After this time without a response, another watch is opened beside the first. */
   public static final long WATCH_RESPONSE_TIMEOUT_NANOS = 1_000 * NANOS_PER_MILLI;
 
+  /**
+   * A watch without a byte for this time has stopped; until then its response may only be slow. A
+   * list counts as known 6 s after it was asked for.
+   */
+  static final long WATCH_SILENCE_TIMEOUT_NANOS = 5_000 * NANOS_PER_MILLI;
+
   /** Interval at which {@link #openWatchIfDue} must be called. */
   public static final long CHECK_INTERVAL_NANOS = 50 * NANOS_PER_MILLI;
 
@@ -57,8 +63,12 @@
     private boolean responded;
     private long lastEventAtNanos;
 
-    private Watch(int addressGeneration) {
+    /** When a byte was last received, or the watch was opened. */
+    private long lastHeardAtNanos;
+
+    private Watch(int addressGeneration, long openedAtNanos) {
       this.addressGeneration = addressGeneration;
+      lastHeardAtNanos = openedAtNanos;
     }
 
     /** Whether events of this watch are still accepted. */
@@ -69,6 +79,7 @@
     private void recordEvent(long nowNanos) {
       responded = true;
       lastEventAtNanos = nowNanos;
+      lastHeardAtNanos = nowNanos;
     }
 
     private boolean isResponsive(long nowNanos) {
@@ -133,22 +144,34 @@
 
   /**
    * Opens a watch if none is responsive and the wait after the last one is over. If {@link
-   * #MAX_OPEN_WATCHES} are open already, the oldest is closed.
+   * #MAX_OPEN_WATCHES} are open already, one is closed: the oldest if it has stopped or is at an
+   * earlier address, otherwise the second oldest.
    */
   public void openWatchIfDue(long nowNanos) {
     if (nowNanos < nextWatchAtNanos || hasResponsiveWatch(nowNanos)) {
       return;
     }
     if (openWatches.size() >= MAX_OPEN_WATCHES) {
-      close(openWatches.get(0));
+      close(
+          mayStillRespond(openWatches.get(0), nowNanos) ? openWatches.get(1) : openWatches.get(0));
     }
-    Watch watch = new Watch(addressGeneration);
+    Watch watch = new Watch(addressGeneration, nowNanos);
     openWatches.add(watch);
     long jitterNanos = random.nextLong(WATCH_RESPONSE_TIMEOUT_NANOS / RESPONSE_JITTER_DIVISOR);
     nextWatchAtNanos = nowNanos + WATCH_RESPONSE_TIMEOUT_NANOS - jitterNanos;
     transport.open(watch);
   }
 
+  private boolean mayStillRespond(Watch watch, long nowNanos) {
+    return watch.addressGeneration == addressGeneration
+        && nowNanos - watch.lastHeardAtNanos < WATCH_SILENCE_TIMEOUT_NANOS;
+  }
+
+  /** A part of a watch's response was received, which need not complete an event. */
+  public void bytesReceived(long nowNanos, Watch watch) {
+    watch.lastHeardAtNanos = nowNanos;
+  }
+
   /**
    * Discovery's address has changed: opens a watch at the new address. Events of watches at the old
    * address are accepted until the new address responds.
--- a/edge/src/test/java/edgegateway/node/discovery/WatchHandlerTest.java
+++ b/edge/src/test/java/edgegateway/node/discovery/WatchHandlerTest.java
@@ -26,6 +26,7 @@
   private final List<String> events = new ArrayList<>();
   private final WatchScheduler scheduler = new WatchScheduler(this, 1);
   private WatchScheduler.Watch watch;
+  private int receivedParts;
 
   @Override
   public void open(WatchScheduler.Watch newWatch) {
@@ -40,6 +41,11 @@
     return 5;
   }
 
+  @Override
+  public void bytesReceived(WatchScheduler.Watch source) {
+    receivedParts++;
+  }
+
   @Override
   public void keepAliveReceived(WatchScheduler.Watch source) {
     events.add("keep-alive");
@@ -66,6 +72,16 @@
     return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
   }
 
+  @Test
+  void aPartOfAListTellsThatDiscoveryIsAlive() {
+    EmbeddedChannel channel = openChannel();
+    receive(channel, RESPONSE_HEAD + chunk("{\"revision\":"));
+    int partsBefore = receivedParts;
+    receive(channel, chunk("6,"));
+    assertTrue(receivedParts > partsBefore);
+    assertEquals(List.of(), events);
+  }
+
   @Test
   void theRequestNamesTheCurrentRevision() {
     EmbeddedChannel channel = openChannel();
--- a/edge/src/test/java/edgegateway/node/discovery/WatchSchedulerTest.java
+++ b/edge/src/test/java/edgegateway/node/discovery/WatchSchedulerTest.java
@@ -137,6 +137,38 @@
     }
   }
 
+  @Test
+  void aWatchWhoseResponseIsSlowIsNotGivenUp() {
+    for (long seed = 0; seed < 20; seed++) {
+      WatchScheduler scheduler = startScheduler(seed);
+      WatchScheduler.Watch first = lastOpened();
+      advance(scheduler, WatchScheduler.WATCH_SILENCE_TIMEOUT_NANOS - 1);
+      assertTrue(scheduler.listReceived(nowNanos, first, 6, true), "seed " + seed);
+      assertEquals(List.of(first), openWatches);
+    }
+  }
+
+  @Test
+  void aWatchWhoseListArrivesInPiecesIsNotGivenUp() {
+    WatchScheduler scheduler = startScheduler(1);
+    WatchScheduler.Watch first = lastOpened();
+    for (int i = 0; i < 10; i++) {
+      advance(scheduler, WatchScheduler.WATCH_SILENCE_TIMEOUT_NANOS / 2);
+      scheduler.bytesReceived(nowNanos, first);
+    }
+    assertTrue(first.isOpen());
+  }
+
+  @Test
+  void aWatchThatStoppedGivesWay() {
+    WatchScheduler scheduler = startScheduler(1);
+    WatchScheduler.Watch first = lastOpened();
+    advance(
+        scheduler,
+        WatchScheduler.WATCH_SILENCE_TIMEOUT_NANOS + WatchScheduler.WATCH_RESPONSE_TIMEOUT_NANOS);
+    assertFalse(first.isOpen());
+  }
+
   @Test
   void anIdleWatchIsReplacedAndEventsAcceptedUntilTheNewWatchResponds() {
     WatchScheduler scheduler = startScheduler(3);
