One base class for the seeds of soak tests; read the clock once in a stall check

Cause: the two soaks had the same method (duplicates), and BodyRelay#isStalled got the time and read the clock again (the reading before the last landing). Change: SeededSoakTest; sourceSilentNanos takes the time. No behaviour changes.

--- a/edge/src/main/java/edgegateway/node/requests/BodyRelay.java
+++ b/edge/src/main/java/edgegateway/node/requests/BodyRelay.java
@@ -66,7 +66,11 @@
 
   /** How long the source has sent nothing although it is read; 0 while it is not read. */
   public long sourceSilentNanos() {
-    return reading ? System.nanoTime() - sourceAwaitedSinceNanos : 0;
+    return sourceSilentNanos(System.nanoTime());
+  }
+
+  private long sourceSilentNanos(long nowNanos) {
+    return reading ? nowNanos - sourceAwaitedSinceNanos : 0;
   }
 
   /**
@@ -124,9 +128,9 @@
     }
   }
 
-  private boolean isStalled(long now) {
-    return now - lastProgressNanos > Group.STALL_TIMEOUT_NANOS
-        || sourceSilentNanos() > sourceStallTimeoutNanos;
+  private boolean isStalled(long nowNanos) {
+    return nowNanos - lastProgressNanos > Group.STALL_TIMEOUT_NANOS
+        || sourceSilentNanos(nowNanos) > sourceStallTimeoutNanos;
   }
 
   /**
@@ -134,8 +138,9 @@
    * source. Fires an exception instead of closing the channel, because a body without a declared
    * length is complete when its connection closes.
    */
-  private void abortStalled() {
-    boolean sourceStalled = bytesInFlight == 0 || sourceSilentNanos() > sourceStallTimeoutNanos;
+  private void abortStalled(long nowNanos) {
+    boolean sourceStalled =
+        bytesInFlight == 0 || sourceSilentNanos(nowNanos) > sourceStallTimeoutNanos;
     Channel stalled = sourceStalled ? source : sink;
     stalled.pipeline().fireExceptionCaught(new IOException("no progress in forwarding the body"));
   }
@@ -213,10 +218,10 @@
     }
 
     private void abortStalled() {
-      long now = System.nanoTime();
+      long nowNanos = System.nanoTime();
       for (BodyRelay relay : List.copyOf(running)) {
-        if (relay.isStalled(now)) {
-          relay.abortStalled();
+        if (relay.isStalled(nowNanos)) {
+          relay.abortStalled(nowNanos);
         }
       }
     }
--- a/edge/src/test/java/edgegateway/node/MisbehavingClientsSoakTest.java
+++ b/edge/src/test/java/edgegateway/node/MisbehavingClientsSoakTest.java
@@ -30,7 +30,7 @@
  * 1,024 descriptors in its settings, which then gets SIGTERM and is killed as early as the platform
  * may. Seeded; {@code -Dsoak.firstSeed} and {@code -Dsoak.seeds} choose the runs.
  */
-class MisbehavingClientsSoakTest extends NodeTest {
+class MisbehavingClientsSoakTest extends SeededSoakTest {
   private static final int MEMORY_MB = 96;
   private static final int SOUND_CLIENTS = 12;
   private static final int WAIT_MILLIS = 1_000;
@@ -92,15 +92,6 @@
     }
   }
 
-  static List<Long> seeds() {
-    long first = Long.getLong("soak.firstSeed", 1);
-    List<Long> seeds = new ArrayList<>();
-    for (int i = 0; i < Integer.getInteger("soak.seeds", 3); i++) {
-      seeds.add(first + i);
-    }
-    return seeds;
-  }
-
   private interface Task {
     void run() throws Exception;
   }
--- a/edge/src/test/java/edgegateway/node/SlowServersSoakTest.java
+++ b/edge/src/test/java/edgegateway/node/SlowServersSoakTest.java
@@ -26,10 +26,9 @@
  * Sound clients at a process of the node whose archive servers write long responses and read large
  * requests slowly and with pauses. The process gets some SIGHUP, then SIGTERM, in some runs twice,
  * and is killed as early as the platform may; clients go on using their connections until then.
- * Every third run has a crowd of idle clients beside. Seeded; {@code -Dsoak.firstSeed} and {@code
- * -Dsoak.seeds} choose the runs.
+ * Every third run has a crowd of idle clients beside.
  */
-class SlowServersSoakTest extends NodeTest {
+class SlowServersSoakTest extends SeededSoakTest {
   private static final String[] CLASSES = {"lookup", "order", "strict"};
   private static final int CLIENTS = 16;
   private static final int CROWD = 400;
@@ -58,15 +57,6 @@
   private volatile boolean ended;
   private volatile long stoppedNanos = Long.MAX_VALUE;
 
-  static List<Long> seeds() {
-    long first = Long.getLong("soak.firstSeed", 1);
-    List<Long> seeds = new ArrayList<>();
-    for (int i = 0; i < Integer.getInteger("soak.seeds", 3); i++) {
-      seeds.add(first + i);
-    }
-    return seeds;
-  }
-
   private static long millisSince(long nanos) {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
   }
