Stream a long response to a large request though its server read the request slowly

Callers saw: a large request whose server needs 0.5 s to read it and then writes a long response in pieces is answered 502 at its deadline (request_not_served reason=DEADLINE attempts=1 last_outcome=none). Cause: when the last byte of an upload is written, the attempt's timeout starts anew at its full length. If that is more than 6 ms after the client sent the byte, the timeout comes behind the request's deadline; only the timeout streams a response that has begun, the deadline fails it. Found while looking at what else ends a begun response. Change: the timeout behind an upload is at most what is left until the deadline for attempts, 12 ms before the client's. SlowServer reads at the rate it is told (it paused after each read of at most 16 KB before). Result: SlowServerTest#aLongResponseToALargeRequestIsNotCutOff, three framings, 3 MB read in 0.5 s, 0.76 s to wait: 502 before (failed), whole now; SlowServerTest passes whole.

--- a/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
+++ b/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
@@ -221,10 +221,14 @@
     return GatewayPolicy.streamsBuffered(progress, heldNanos);
   }
 
+  @Override
+  public long untilDeadlineNanos(InFlightRequest request) {
+    return request.clientDeadlineNanos - POLICY_DEADLINE_MARGIN_NANOS - nowNanos();
+  }
+
   @Override
   public long headWaitNanos(InFlightRequest request, long silentNanos) {
-    long policyDeadlineNanos = request.clientDeadlineNanos - POLICY_DEADLINE_MARGIN_NANOS;
-    return GatewayPolicy.headWaitNanos(silentNanos, policyDeadlineNanos - nowNanos());
+    return GatewayPolicy.headWaitNanos(silentNanos, untilDeadlineNanos(request));
   }
 
   @Override
--- a/edge/src/main/java/edgegateway/node/requests/AttemptListener.java
+++ b/edge/src/main/java/edgegateway/node/requests/AttemptListener.java
@@ -14,6 +14,9 @@
   /** The node's clock: nanoseconds since the epoch, monotonic. */
   long nowNanos();
 
+  /** The time until the last attempt of a request must have ended; negative after that. */
+  long untilDeadlineNanos(InFlightRequest request);
+
   /**
    * Called when an attempt ended; exactly once per attempt, unless {@link #responseStarted} was
    * called for it.
--- a/edge/src/main/java/edgegateway/node/upstream/UpstreamAttempt.java
+++ b/edge/src/main/java/edgegateway/node/upstream/UpstreamAttempt.java
@@ -197,7 +197,10 @@
     if (request.upload != null && !ended) {
       sentAtNanos = System.nanoTime();
       timeout.cancel(false);
-      timeout = context.loop().schedule(this::timeOut, timeoutNanos, TimeUnit.NANOSECONDS);
+      // Before the request is failed at its deadline, so that a response that has begun goes on.
+      long responseTimeoutNanos =
+          Math.min(timeoutNanos, context.listener().untilDeadlineNanos(request));
+      timeout = context.loop().schedule(this::timeOut, responseTimeoutNanos, TimeUnit.NANOSECONDS);
     }
   }
 
--- a/edge/src/test/java/edgegateway/node/LargeUpload.java
+++ b/edge/src/test/java/edgegateway/node/LargeUpload.java
@@ -16,9 +16,13 @@
 record LargeUpload(Framing framing, int bytes, int bytesPerSecond, int maxBytes, int waitMillis) {
   /** Writes the request; returns when the last byte is written. */
   void send(OutputStream out, Map<String, String> headers) throws IOException {
+    send(out, headers, SlowServer.readPath(bytesPerSecond, maxBytes));
+  }
+
+  /** Writes the request with a path of its own. */
+  void send(OutputStream out, Map<String, String> headers, String path) throws IOException {
     boolean chunked = framing == Framing.CHUNKED;
-    StringBuilder head = new StringBuilder("POST ");
-    head.append(SlowServer.readPath(bytesPerSecond, maxBytes)).append(" HTTP/1.1\r\n");
+    StringBuilder head = new StringBuilder("POST ").append(path).append(" HTTP/1.1\r\n");
     headers.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
     head.append(chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + bytes);
     head.append(chunked ? "\r\n\r\n" + Integer.toHexString(bytes) + "\r\n" : "\r\n\r\n");
--- a/edge/src/test/java/edgegateway/node/NodeTest.java
+++ b/edge/src/test/java/edgegateway/node/NodeTest.java
@@ -242,6 +242,15 @@
     return response;
   }
 
+  /** Reads the head of a response, after any interim ones; null if the connection ends before. */
+  static String readFinalHead(InputStream in) throws IOException {
+    String head = readHead(in);
+    while (head != null && head.startsWith("HTTP/1.1 100")) {
+      head = readHead(in);
+    }
+    return head;
+  }
+
   /** The headers of a valid request with the given trace id, class and time to its deadline. */
   static Map<String, String> headers(String traceId, String requestClass, String expiresInMillis) {
     Map<String, String> headers =
--- a/edge/src/test/java/edgegateway/node/SlowResponse.java
+++ b/edge/src/test/java/edgegateway/node/SlowResponse.java
@@ -19,6 +19,7 @@
  */
 record SlowResponse(
     Framing framing, int bytes, int pieceBytes, int firstPauseMillis, int pauseMillis) {
+  private static final String PARAMETER = "slow=";
   private static final byte[] BODY = new byte[3_000_000];
 
   static {
@@ -34,7 +35,8 @@
 
   /** The path of a request for this response. */
   String path() {
-    return "/api?slow="
+    return "/api?"
+        + PARAMETER
         + String.join(
             ",",
             framing.name(),
@@ -46,11 +48,11 @@
 
   /** The response that a request line asks for by its {@link #path}; null if it does not. */
   static SlowResponse requestedBy(String startLine) {
-    int start = startLine.indexOf("?slow=");
+    int start = startLine.indexOf(PARAMETER);
     if (start < 0) {
       return null;
     }
-    String[] parts = startLine.substring(start + "?slow=".length()).split(" ")[0].split(",");
+    String[] parts = startLine.substring(start + PARAMETER.length()).split("[ &]")[0].split(",");
     return new SlowResponse(
         Framing.valueOf(parts[0]),
         Integer.parseInt(parts[1]),
--- a/edge/src/test/java/edgegateway/node/SlowServer.java
+++ b/edge/src/test/java/edgegateway/node/SlowServer.java
@@ -18,10 +18,9 @@
 final class SlowServer implements AutoCloseable {
   private static final Pattern ID = Pattern.compile("(?i)x-trace-id: (\\S+)");
   private static final Pattern CONTENT_LENGTH = Pattern.compile("(?i)content-length: (\\d+)");
-  private static final Pattern READ = Pattern.compile("\\?read=(\\d+),(\\d+) ");
+  private static final Pattern READ = Pattern.compile("[?&]read=(\\d+),(\\d+)");
 
-  /** In how many pieces a second a server reads slowly. */
-  private static final int READS_PER_SECOND = 50;
+  private static final int PAUSES_PER_SECOND = 50;
 
   /** When the response to each request began, by id. */
   final Map<String, Long> begunNanos = new ConcurrentHashMap<>();
@@ -100,12 +99,13 @@
   /** Reads at a limited speed, and from some byte on nothing until the connection ends. */
   private static final class SlowInput extends InputStream {
     private final InputStream in;
-    private final int bytesPerRead;
+    private final int bytesPerPause;
+    private int bytesSincePause;
     private long bytesLeft;
 
     SlowInput(InputStream in, int bytesPerSecond, long maxBytes) {
       this.in = in;
-      bytesPerRead = bytesPerSecond / READS_PER_SECOND;
+      bytesPerPause = bytesPerSecond / PAUSES_PER_SECOND;
       bytesLeft = maxBytes;
     }
 
@@ -121,12 +121,14 @@
         if (bytesLeft == 0) {
           Thread.sleep(Long.MAX_VALUE);
         }
-        int wanted = (int) Math.min(Math.min(length, bytesPerRead), bytesLeft);
-        if (wanted > 1) {
-          Thread.sleep(1_000 / READS_PER_SECOND);
+        if (bytesSincePause >= bytesPerPause) {
+          bytesSincePause = 0;
+          Thread.sleep(1_000 / PAUSES_PER_SECOND);
         }
+        int wanted = (int) Math.min(Math.min(length, bytesPerPause), bytesLeft);
         int count = in.read(buffer, offset, wanted);
         bytesLeft -= Math.max(0, count);
+        bytesSincePause += Math.max(0, count);
         return count;
       } catch (InterruptedException e) {
         throw new IOException(e);
--- a/edge/src/test/java/edgegateway/node/SlowServerTest.java
+++ b/edge/src/test/java/edgegateway/node/SlowServerTest.java
@@ -92,10 +92,7 @@
       String method = exchange.requestClass().equals("lookup") ? "GET " : "POST ";
       sendRequest(client, method + exchange.response().path(), headers, "");
       InputStream in = client.getInputStream();
-      String head = readHead(in);
-      while (head != null && head.startsWith("HTTP/1.1 100")) {
-        head = readHead(in);
-      }
+      String head = readFinalHead(in);
       long firstMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
       if (head == null || !head.startsWith("HTTP/1.1 200")) {
         return "not served after " + firstMillis + " ms: " + head;
@@ -237,6 +234,30 @@
     }
   }
 
+  @ParameterizedTest
+  @EnumSource(Framing.class)
+  void aLongResponseToALargeRequestIsNotCutOff(Framing framing) throws Exception {
+    InetSocketAddress address = startNodeProcess(startServer(0).address(), OBJECTIVE_MILLIS);
+    SlowResponse response = new SlowResponse(framing, 163_813, 54_604, 0, 850);
+    LargeUpload upload =
+        new LargeUpload(Framing.LENGTH, 3_000_000, 6_000_000, Integer.MAX_VALUE, 760);
+    String path =
+        response.path()
+            + "&"
+            + SlowServer.readPath(upload.bytesPerSecond(), upload.maxBytes())
+                .substring("/api?".length());
+    for (int i = 0; i < 3; i++) {
+      Map<String, String> headers =
+          headers("t-" + i, "order", Integer.toString(upload.waitMillis()));
+      try (Socket client = connect(address)) {
+        upload.send(client.getOutputStream(), headers, path);
+        String head = readFinalHead(client.getInputStream());
+        assertTrue(head.startsWith("HTTP/1.1 200"), head);
+        assertArrayEquals(response.body(), response.readBody(head, client.getInputStream()));
+      }
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(ints = {0, 8_192})
   void aFinalAnswerIsInTimeThoughTheServerReadsALargeRequestSlowly(int receiveBufferBytes)
--- a/edge/src/test/java/edgegateway/node/SlowServersSoakTest.java
+++ b/edge/src/test/java/edgegateway/node/SlowServersSoakTest.java
@@ -172,10 +172,7 @@
 
   private boolean longResponse(Socket socket, String id, SlowResponse response) throws IOException {
     long startNanos = System.nanoTime();
-    String head = readHead(socket.getInputStream());
-    while (head != null && head.startsWith("HTTP/1.1 100")) {
-      head = readHead(socket.getInputStream());
-    }
+    String head = readFinalHead(socket.getInputStream());
     if (head == null) {
       throw new IOException("closed");
     }
--- a/edge/src/test/java/edgegateway/node/upstream/UpstreamConnectionHandlerTest.java
+++ b/edge/src/test/java/edgegateway/node/upstream/UpstreamConnectionHandlerTest.java
@@ -111,6 +111,11 @@
     return false;
   }
 
+  @Override
+  public long untilDeadlineNanos(InFlightRequest request) {
+    return TIMEOUT_NANOS;
+  }
+
   @Override
   public long headWaitNanos(InFlightRequest request, long silentNanos) {
     return 0;
