Time an attempt out before its request is failed at its deadline, however late it starts

Cause: as behind an upload: an attempt's timeout counts from the start of the attempt. If the event loop is held up for over 6 ms between the policy's decision and that start, it comes behind the request's deadline, which fails a response that has begun instead of streaming it. Found by reading. Change: every attempt's timeout is at most what is left until the deadline for attempts; one method schedules both. Result: UpstreamConnectionHandlerTest #anAttemptThatStartedLateTimesOutBeforeItsRequestIsFailedAtTheDeadline passes; no hold-up was played. RaceConditionsTest, EdgeNodeTest, LongBodyTest pass.

--- a/edge/src/main/java/edgegateway/node/upstream/UpstreamAttempt.java
+++ b/edge/src/main/java/edgegateway/node/upstream/UpstreamAttempt.java
@@ -109,7 +109,7 @@
       noConnection(true);
       return;
     }
-    timeout = context.loop().schedule(this::timeOut, timeoutNanos, TimeUnit.NANOSECONDS);
+    scheduleTimeout();
     upstream.acquire(System.nanoTime(), this);
   }
 
@@ -197,13 +197,22 @@
     if (request.upload != null && !ended) {
       sentAtNanos = System.nanoTime();
       timeout.cancel(false);
-      // Before the request is failed at its deadline, so that a response that has begun goes on.
-      long responseTimeoutNanos =
-          Math.min(timeoutNanos, context.listener().untilDeadlineNanos(request));
-      timeout = context.loop().schedule(this::timeOut, responseTimeoutNanos, TimeUnit.NANOSECONDS);
+      scheduleTimeout();
     }
   }
 
+  /**
+   * Schedules the timeout before the request is failed at its deadline, so that a response that has
+   * begun goes on. While an upload is incomplete the deadline is not known.
+   */
+  private void scheduleTimeout() {
+    boolean deadlineKnown = request.upload == null || request.upload.isComplete();
+    long untilDeadlineNanos =
+        deadlineKnown ? context.listener().untilDeadlineNanos(request) : timeoutNanos;
+    long delayNanos = Math.min(timeoutNanos, untilDeadlineNanos);
+    timeout = context.loop().schedule(this::timeOut, delayNanos, TimeUnit.NANOSECONDS);
+  }
+
   /**
    * Called when the rest of a long body cannot be forwarded. Ends the attempt only if the request
    * already has a response; otherwise the caller ends the attempt by {@link #connectionLost} next.
--- a/edge/src/test/java/edgegateway/node/upstream/UpstreamConnectionHandlerTest.java
+++ b/edge/src/test/java/edgegateway/node/upstream/UpstreamConnectionHandlerTest.java
@@ -46,6 +46,7 @@
   private final List<String> results = new ArrayList<>();
 
   private boolean channelOpenAtEnd;
+  private long untilDeadlineNanos = TIMEOUT_NANOS;
   private final EmbeddedChannel channel = new EmbeddedChannel();
   private final ConnectionMetrics connectionMetrics = new ConnectionMetrics();
   private final BufferedBodies bufferedBodies = new BufferedBodies(connectionMetrics);
@@ -113,7 +114,7 @@
 
   @Override
   public long untilDeadlineNanos(InFlightRequest request) {
-    return TIMEOUT_NANOS;
+    return untilDeadlineNanos;
   }
 
   @Override
@@ -166,6 +167,19 @@
         + body;
   }
 
+  @Test
+  void anAttemptThatStartedLateTimesOutBeforeItsRequestIsFailedAtTheDeadline() {
+    channel.freezeTime();
+    untilDeadlineNanos = TIMEOUT_NANOS / 2;
+    send("t-1");
+    channel.advanceTimeBy(untilDeadlineNanos - 1, TimeUnit.NANOSECONDS);
+    channel.runScheduledPendingTasks();
+    assertEquals(List.of(), results);
+    channel.advanceTimeBy(1, TimeUnit.NANOSECONDS);
+    channel.runScheduledPendingTasks();
+    assertEquals(1, results.size());
+  }
+
   @Test
   void theWrittenRequestHasTheAttemptHeadersAndTheBody() {
     send("t-1");
