Discovery: replace the newest watch without a byte, not the second oldest

Callers would see: beside a first call that hangs, a second one whose response takes 3.5 s is closed after 1.8 s, so the list comes over 6 s late. Found when reading the change of the choice again. Cause: the second of three watches gave way while the first might respond. Change: the newest gives way of which nothing was received; so two calls wait for up to 5 s, and the third place is for a new call each second.

--- a/edge/src/main/java/edgegateway/node/discovery/WatchScheduler.java
+++ b/edge/src/main/java/edgegateway/node/discovery/WatchScheduler.java
@@ -63,6 +63,8 @@
     private boolean responded;
     private long lastEventAtNanos;
 
+    private boolean begun;
+
     /** When a byte was last received, or the watch was opened. */
     private long lastHeardAtNanos;
 
@@ -145,15 +147,14 @@
   /**
    * Opens a watch if none is responsive and the wait after the last one is over. If {@link
    * #MAX_OPEN_WATCHES} are open already, one is closed: the oldest if it has stopped or is at an
-   * earlier address, otherwise the second oldest.
+   * earlier address, otherwise the newest of which no byte was received.
    */
   public void openWatchIfDue(long nowNanos) {
     if (nowNanos < nextWatchAtNanos || hasResponsiveWatch(nowNanos)) {
       return;
     }
     if (openWatches.size() >= MAX_OPEN_WATCHES) {
-      close(
-          mayStillRespond(openWatches.get(0), nowNanos) ? openWatches.get(1) : openWatches.get(0));
+      close(watchToReplace(nowNanos));
     }
     Watch watch = new Watch(addressGeneration, nowNanos);
     openWatches.add(watch);
@@ -162,6 +163,20 @@
     transport.open(watch);
   }
 
+  private Watch watchToReplace(long nowNanos) {
+    Watch oldest = openWatches.get(0);
+    if (!mayStillRespond(oldest, nowNanos)) {
+      return oldest;
+    }
+    int newest = openWatches.size() - 1;
+    for (int i = newest; i > 0; i--) {
+      if (!openWatches.get(i).begun) {
+        return openWatches.get(i);
+      }
+    }
+    return openWatches.get(newest);
+  }
+
   private boolean mayStillRespond(Watch watch, long nowNanos) {
     return watch.addressGeneration == addressGeneration
         && nowNanos - watch.lastHeardAtNanos < WATCH_SILENCE_TIMEOUT_NANOS;
@@ -169,6 +184,7 @@
 
   /** A part of a watch's response was received, which need not complete an event. */
   public void bytesReceived(long nowNanos, Watch watch) {
+    watch.begun = true;
     watch.lastHeardAtNanos = nowNanos;
   }
 
--- a/edge/src/test/java/edgegateway/node/discovery/WatchSchedulerTest.java
+++ b/edge/src/test/java/edgegateway/node/discovery/WatchSchedulerTest.java
@@ -159,6 +159,22 @@
     assertTrue(first.isOpen());
   }
 
+  @Test
+  void aSlowResponseBesideAWatchThatHangsIsNotGivenUp() {
+    WatchScheduler scheduler = startScheduler(1);
+    advance(
+        scheduler,
+        WatchScheduler.WATCH_RESPONSE_TIMEOUT_NANOS + WatchScheduler.CHECK_INTERVAL_NANOS);
+    WatchScheduler.Watch second = lastOpened();
+    advance(scheduler, 4 * WatchScheduler.WATCH_RESPONSE_TIMEOUT_NANOS);
+    assertTrue(second.isOpen());
+    // A newer one of which bytes have come is kept, too.
+    WatchScheduler.Watch newest = lastOpened();
+    scheduler.bytesReceived(nowNanos, newest);
+    advance(scheduler, WatchScheduler.WATCH_RESPONSE_TIMEOUT_NANOS);
+    assertTrue(newest.isOpen());
+  }
+
   @Test
   void aWatchThatStoppedGivesWay() {
     WatchScheduler scheduler = startScheduler(1);
