Soaks: see the kill when it happens, not after the process has ended

Cause: since the soaks share DeployedNode, the older one copied the time of the kill only when the killed process had ended, and the field was not volatile: a reset seen by a client's thread in between could count as a cut response. Found when reading the change once more; seen in no run.

--- a/edge/src/test/java/edgegateway/node/DeployedNode.java
+++ b/edge/src/test/java/edgegateway/node/DeployedNode.java
@@ -25,8 +25,8 @@
   private final Process process;
   private final InetSocketAddress address;
   private final Queue<String> log = new ConcurrentLinkedQueue<>();
-  private long stoppedNanos;
-  private long killedNanos = Long.MAX_VALUE;
+  private volatile long stoppedNanos = Long.MAX_VALUE;
+  private volatile long killedNanos = Long.MAX_VALUE;
 
   /**
    * Starts a process; returns when its warm-up is complete.
@@ -82,6 +82,11 @@
     assertEquals(0, exited ? process.exitValue() : 0, "status of a planned end");
   }
 
+  /** When the process got SIGTERM; {@link Long#MAX_VALUE} before that. */
+  long stoppedNanos() {
+    return stoppedNanos;
+  }
+
   /** When the process was killed; {@link Long#MAX_VALUE} before that. */
   long killedNanos() {
     return killedNanos;
--- a/edge/src/test/java/edgegateway/node/MisbehavingClientsSoakTest.java
+++ b/edge/src/test/java/edgegateway/node/MisbehavingClientsSoakTest.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -60,10 +59,8 @@
   /** From the close by a client to the receipt of its request by the server. */
   private final List<Interval> begunLate = Collections.synchronizedList(new ArrayList<>());
 
-  private InetSocketAddress address;
+  private DeployedNode node;
   private volatile boolean ended;
-  private volatile long stoppedNanos = Long.MAX_VALUE;
-  private volatile long killedNanos = Long.MAX_VALUE;
 
   /** What a client does that misbehaves. */
   private enum Misbehavior {
@@ -156,7 +153,7 @@
   }
 
   private Socket connect() throws IOException {
-    Socket socket = new Socket(address.getAddress(), address.getPort());
+    Socket socket = new Socket(node.address().getAddress(), node.address().getPort());
     socket.setSoTimeout(WAIT_MILLIS + GRACE_MILLIS + 4 * OBSERVATION_MILLIS);
     return socket;
   }
@@ -170,7 +167,7 @@
         try {
           socket = connect();
         } catch (IOException e) {
-          if (System.nanoTime() < stoppedNanos) {
+          if (System.nanoTime() < node.stoppedNanos()) {
             faults.add("a connection was refused: " + e);
           }
           Thread.sleep(50);
@@ -201,7 +198,7 @@
       boolean whole = !status(response).equals("200") || !longResponse;
       if (!whole
           && response.body().length() < LONG_RESPONSE_BYTES
-          && System.nanoTime() < killedNanos) {
+          && System.nanoTime() < node.killedNanos()) {
         faults.add(id + " was cut after " + response.body().length() + " bytes");
       }
       if (whole && tookMillis > WAIT_MILLIS + GRACE_MILLIS + OBSERVATION_MILLIS) {
@@ -213,9 +210,10 @@
       faults.add(id + " got no answer");
     } catch (IOException e) {
       boolean mayBeClosed =
-          !fresh && startNanos < killedNanos - TimeUnit.SECONDS.toNanos(1)
-              || millis(startNanos - stoppedNanos) > NEW_CONNECTIONS_AFTER_STOP_MILLIS
-              || startNanos > killedNanos - TimeUnit.MILLISECONDS.toNanos(OBSERVATION_MILLIS);
+          !fresh && startNanos < node.killedNanos() - TimeUnit.SECONDS.toNanos(1)
+              || millis(startNanos - node.stoppedNanos()) > NEW_CONNECTIONS_AFTER_STOP_MILLIS
+              || startNanos
+                  > node.killedNanos() - TimeUnit.MILLISECONDS.toNanos(OBSERVATION_MILLIS);
       if (!mayBeClosed || runs.containsKey(id)) {
         faults.add(id + " was closed unanswered: " + e + (fresh ? ", new connection" : ""));
       }
@@ -401,8 +399,7 @@
             .replace("\"sockets\": 1024", "\"sockets\": 1024, \"memory_mb\": " + MEMORY_MB)
             .replace("\"aim-ns\": 10000000000", "\"aim-ns\": 900000000")
             .replace("\"max-attempts\": 6", "\"max-attempts\": 3");
-    DeployedNode node = new DeployedNode(this, folder, config);
-    address = node.address();
+    node = new DeployedNode(this, folder, config);
     List<Thread> sound = new ArrayList<>();
     for (int i = 0; i < SOUND_CLIENTS; i++) {
       int number = i;
@@ -415,9 +412,7 @@
     Thread.sleep(RUN_MILLIS / 2);
     long peakMb = node.peakMemoryMb();
     node.stop();
-    stoppedNanos = System.nanoTime();
     node.killAsEarlyAsAllowed();
-    killedNanos = node.killedNanos();
     ended = true;
     for (Thread client : sound) {
       client.join();
--- a/edge/src/test/java/edgegateway/node/SlowServersSoakTest.java
+++ b/edge/src/test/java/edgegateway/node/SlowServersSoakTest.java
@@ -55,7 +55,6 @@
   private SlowServer server;
   private DeployedNode node;
   private volatile boolean ended;
-  private volatile long stoppedNanos = Long.MAX_VALUE;
 
   private static long millisSince(long nanos) {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
@@ -118,7 +117,7 @@
     }
     boolean mayBeClosed =
         !fresh
-            || startNanos - stoppedNanos
+            || startNanos - node.stoppedNanos()
                 > TimeUnit.MILLISECONDS.toNanos(NEW_CONNECTIONS_AFTER_STOP_MILLIS);
     if (!mayBeClosed || server.begunNanos.containsKey(id)) {
       faults.add(id + " was closed: " + cause + (fresh ? ", new connection" : ""));
@@ -252,7 +251,6 @@
 
   private void stop(boolean twice) throws Exception {
     node.stop();
-    stoppedNanos = System.nanoTime();
     if (twice) {
       node.sendSignal("TERM");
     }
