WatchScheduler: record a received byte in one place

Cause: an event and a part of a response each set when a watch was last heard, and an event did not count as begun; WatchHandler asked the same twice. Change: Watch#recordBytes serves both; one condition in WatchHandler.

--- a/edge/src/main/java/edgegateway/node/discovery/WatchHandler.java
+++ b/edge/src/main/java/edgegateway/node/discovery/WatchHandler.java
@@ -64,9 +64,9 @@
     ended |= !watch.isOpen() || part.decoderResult().isFailure() || isErrorResponse(part);
     if (!ended) {
       listener.bytesReceived(watch);
-    }
-    if (!ended && part instanceof HttpContent content) {
-      objects.append(ByteBufUtil.getBytes(content.content()));
+      if (part instanceof HttpContent content) {
+        objects.append(ByteBufUtil.getBytes(content.content()));
+      }
     }
     if (ended || part instanceof LastHttpContent) {
       context.close();
--- a/edge/src/main/java/edgegateway/node/discovery/WatchScheduler.java
+++ b/edge/src/main/java/edgegateway/node/discovery/WatchScheduler.java
@@ -63,6 +63,7 @@
     private boolean responded;
     private long lastEventAtNanos;
 
+    /** Whether a byte was received. */
     private boolean begun;
 
     /** When a byte was last received, or the watch was opened. */
@@ -81,6 +82,11 @@
     private void recordEvent(long nowNanos) {
       responded = true;
       lastEventAtNanos = nowNanos;
+      recordBytes(nowNanos);
+    }
+
+    private void recordBytes(long nowNanos) {
+      begun = true;
       lastHeardAtNanos = nowNanos;
     }
 
@@ -184,8 +190,7 @@
 
   /** A part of a watch's response was received, which need not complete an event. */
   public void bytesReceived(long nowNanos, Watch watch) {
-    watch.begun = true;
-    watch.lastHeardAtNanos = nowNanos;
+    watch.recordBytes(nowNanos);
   }
 
   /**
