Derive an upload's unknown deadline and a response's length instead of passing them

Cause: UpstreamAttempt asked whether the deadline of an upload is known yet, a special case above InFlightRequest, which holds it; the declared length was read from the head in three places and handed on; the hold check was cancelled at each of three ends, though it finds out itself that nothing is buffered. Change: a deadline that is not set is Long.MAX_VALUE, so the shorter of two times is enough; declaredBytes() reads the head; a flag says that a hold check is scheduled, which serves the connection's next response too.

--- a/edge/src/main/java/edgegateway/node/requests/InFlightRequest.java
+++ b/edge/src/main/java/edgegateway/node/requests/InFlightRequest.java
@@ -156,8 +156,10 @@
   /** Whether {@link #claimResponse} was called. */
   public boolean responseClaimed;
 
-  /** The client's deadline on the node's clock; set once the body is complete. */
-  public long clientDeadlineNanos;
+  /**
+   * The client's deadline on the node's clock; {@link Long#MAX_VALUE} until the body is complete.
+   */
+  public long clientDeadlineNanos = Long.MAX_VALUE;
 
   /** Ends the request shortly before {@link #clientDeadlineNanos}; null while that is not set. */
   public Future<?> clientDeadlineTimer;
--- a/edge/src/main/java/edgegateway/node/upstream/UpstreamAttempt.java
+++ b/edge/src/main/java/edgegateway/node/upstream/UpstreamAttempt.java
@@ -203,13 +203,10 @@
 
   /**
    * Schedules the timeout before the request is failed at its deadline, so that a response that has
-   * begun goes on. While an upload is incomplete the deadline is not known.
+   * begun goes on.
    */
   private void scheduleTimeout() {
-    boolean deadlineKnown = request.upload == null || request.upload.isComplete();
-    long untilDeadlineNanos =
-        deadlineKnown ? context.listener().untilDeadlineNanos(request) : timeoutNanos;
-    long delayNanos = Math.min(timeoutNanos, untilDeadlineNanos);
+    long delayNanos = Math.min(timeoutNanos, context.listener().untilDeadlineNanos(request));
     timeout = context.loop().schedule(this::timeOut, delayNanos, TimeUnit.NANOSECONDS);
   }
 
--- a/edge/src/main/java/edgegateway/node/upstream/UpstreamConnectionHandler.java
+++ b/edge/src/main/java/edgegateway/node/upstream/UpstreamConnectionHandler.java
@@ -17,7 +17,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -68,8 +67,8 @@
   /** When the first bytes of {@link #body} arrived. */
   private long bodyStartedNanos;
 
-  /** Checks whether {@link #body} is streamed; null if the response is complete or not buffered. */
-  private Future<?> holdCheck;
+  /** Whether {@link #checkHold} is scheduled; then it serves the next response, too. */
+  private boolean holdCheckScheduled;
 
   /** When a part of the response last arrived. */
   private long lastReceivedNanos;
@@ -124,8 +123,7 @@
     if (response == null || relay != null || !UpstreamResponseClassifier.isSuccess(response)) {
       return false;
     }
-    ResponseProgress progress = progress();
-    if (!context.listener().streamsAtTimeout(attempt.request(), attempt.endpointId(), progress)) {
+    if (!context.listener().streamsAtTimeout(attempt.request(), attempt.endpointId(), progress())) {
       return false;
     }
     streamBetweenReads();
@@ -134,7 +132,7 @@
 
   /** Starts to stream the response while no read of the connection is in progress. */
   private void streamBetweenReads() {
-    startStreaming(progress().declaredBytes());
+    startStreaming();
     if (relay != null) {
       relay.readComplete();
     }
@@ -142,12 +140,12 @@
 
   /** Checks from time to time whether the beginning of a long response is buffered for too long. */
   private void scheduleHoldCheck() {
-    holdCheck =
-        context.loop().schedule(this::checkHold, HOLD_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    holdCheckScheduled = true;
+    context.loop().schedule(this::checkHold, HOLD_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private void checkHold() {
-    holdCheck = null;
+    holdCheckScheduled = false;
     if (attempt == null || body == null) {
       return;
     }
@@ -158,13 +156,6 @@
     }
   }
 
-  private void cancelHoldCheck() {
-    if (holdCheck != null) {
-      holdCheck.cancel(false);
-      holdCheck = null;
-    }
-  }
-
   /** Called when the attempt ended before its response was complete. */
   void attemptEnded() {
     attempt = null;
@@ -231,15 +222,14 @@
       // Only the head of an unsuccessful response is used.
       return;
     }
-    long contentLength = HttpUtil.getContentLength(response, -1L);
     if (body == null) {
-      long wantedBytes = Math.max(contentLength, INITIAL_BODY_BUFFER_BYTES);
+      long wantedBytes = Math.max(declaredBytes(), INITIAL_BODY_BUFFER_BYTES);
       body =
           channel
               .alloc()
               .buffer((int) Math.min(UpstreamPool.MAX_BUFFERED_RESPONSE_BYTES, wantedBytes));
       bodyAccount = context.bufferedBodies().newBody(attempt.request().request.customer());
-      bodyStartedNanos = System.nanoTime();
+      bodyStartedNanos = lastReceivedNanos;
     }
     body.writeBytes(chunk);
     boolean withinMemoryLimit = bodyAccount.tryResize(body.capacity());
@@ -248,24 +238,22 @@
     // LongBodyTest#aResponseShorterThanItsLengthIsNotForwarded.
     boolean tooLong = body.readableBytes() > UpstreamPool.MAX_BUFFERED_RESPONSE_BYTES;
     if (body.isReadable() && (!withinMemoryLimit || tooLong)) {
-      startStreaming(contentLength);
+      startStreaming();
     }
   }
 
   /**
    * Starts to stream the response to the client. From then on, no other attempt can replace the
    * current one. If the client has disconnected, ends the attempt and discards the response.
-   *
-   * @param contentLength the declared length of the body in bytes; -1 if there is none
    */
-  private void startStreaming(long contentLength) {
+  private void startStreaming() {
     UpstreamAttempt streamedAttempt = attempt;
     Channel client =
         context
             .listener()
             .responseStarted(
                 streamedAttempt.request(),
-                contentLength,
+                declaredBytes(),
                 streamedAttempt.elapsedNanos(),
                 streamedAttempt.endpointId(),
                 this::progress,
@@ -280,20 +268,21 @@
     if (body != null) {
       relay.forward(body);
       body = null;
-      cancelHoldCheck();
       bodyAccount.release();
     }
   }
 
   /** How far the response to the attempt has come. */
   private ResponseProgress progress() {
-    long declaredBytes =
-        response == null
-            ? ResponseProgress.UNKNOWN_LENGTH
-            : HttpUtil.getContentLength(response, ResponseProgress.UNKNOWN_LENGTH);
     long bufferedBytes = body == null ? 0 : body.readableBytes();
     long receivedBytes = relay == null ? bufferedBytes : relay.receivedBytes();
-    return new ResponseProgress(declaredBytes, receivedBytes, silentNanos());
+    return new ResponseProgress(declaredBytes(), receivedBytes, silentNanos());
+  }
+
+  private long declaredBytes() {
+    return response == null
+        ? ResponseProgress.UNKNOWN_LENGTH
+        : HttpUtil.getContentLength(response, ResponseProgress.UNKNOWN_LENGTH);
   }
 
   /** How long the server has sent nothing although it was read. */
@@ -314,7 +303,7 @@
     }
     if (responseComplete) {
       finish();
-    } else if (body != null && holdCheck == null) {
+    } else if (body != null && !holdCheckScheduled) {
       scheduleHoldCheck();
     } else if (attempt == null && decoder.hasUndecodedBytes()) {
       handlerContext.close();
@@ -355,7 +344,6 @@
   }
 
   private void resetForNextAttempt() {
-    cancelHoldCheck();
     response = null;
     body = null;
     bodyAccount = null;
@@ -395,7 +383,6 @@
   }
 
   private void releaseBody() {
-    cancelHoldCheck();
     if (body != null) {
       body.release();
       body = null;
