--- a/edge/src/test/java/edgegateway/node/LargeUpload.java
+++ b/edge/src/test/java/edgegateway/node/LargeUpload.java
@@ -14,9 +14,14 @@
  * @param waitMillis how long the client waits, from its last byte
  */
 record LargeUpload(Framing framing, int bytes, int bytesPerSecond, int maxBytes, int waitMillis) {
+  /** The parameter of the path that tells a {@link SlowServer} how to read the request. */
+  String parameter() {
+    return "read=" + bytesPerSecond + "," + maxBytes;
+  }
+
   /** Writes the request; returns when the last byte is written. */
   void send(OutputStream out, Map<String, String> headers) throws IOException {
-    send(out, headers, SlowServer.readPath(bytesPerSecond, maxBytes));
+    send(out, headers, "/api?" + parameter());
   }
 
   /** Writes the request with a path of its own. */
--- a/edge/src/test/java/edgegateway/node/SlowServer.java
+++ b/edge/src/test/java/edgegateway/node/SlowServer.java
@@ -13,7 +13,7 @@
 
 /**
  * An archive server on loopback that reads each request, and writes each response, as slowly as the
- * request's path says: see {@link SlowResponse#path} and {@link #readPath}.
+ * request's path says: see {@link SlowResponse#path} and {@link LargeUpload#parameter}.
  */
 final class SlowServer implements AutoCloseable {
   private static final Pattern ID = Pattern.compile("(?i)x-trace-id: (\\S+)");
@@ -46,16 +46,6 @@
         });
   }
 
-  /**
-   * The path of a request that is read slowly.
-   *
-   * @param bytesPerSecond how fast it is read
-   * @param maxBytes where reading stops for good
-   */
-  static String readPath(int bytesPerSecond, int maxBytes) {
-    return "/api?read=" + bytesPerSecond + "," + maxBytes;
-  }
-
   String address() {
     return "127.0.0.1:" + listening.getLocalPort();
   }
@@ -81,8 +71,7 @@
     return matcher.find() ? matcher.group(1) : null;
   }
 
-  private static void readBody(String head, InputStream in)
-      throws IOException, InterruptedException {
+  private static void readBody(String head, InputStream in) throws IOException {
     Matcher limits = READ.matcher(head);
     InputStream body =
         limits.find()
--- a/edge/src/test/java/edgegateway/node/SlowServerTest.java
+++ b/edge/src/test/java/edgegateway/node/SlowServerTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiFunction;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -52,7 +53,6 @@
    *
    * @param requestClass its class
    * @param waitMillis how long the client waits
-   * @param response the response; null for one that follows a large request
    */
   private record Exchange(String requestClass, int waitMillis, SlowResponse response) {}
 
@@ -115,18 +115,24 @@
 
   private void assertAllWhole(List<Exchange> exchanges) throws Exception {
     InetSocketAddress address = startNodeProcess(startServer(0).address(), OBJECTIVE_MILLIS);
+    assertAll("whole", exchanges, (exchange, id) -> exchange(address, exchange, id));
+  }
+
+  /** Plays all cases at once, each with an id of its own, and compares their results. */
+  private static <T> void assertAll(
+      String expected, List<T> cases, BiFunction<T, String, String> play) throws Exception {
     List<CompletableFuture<String>> results = new ArrayList<>();
-    for (Exchange exchange : exchanges) {
+    for (T one : cases) {
       String id = "t-" + results.size();
       results.add(
           CompletableFuture.supplyAsync(
-              () -> exchange(address, exchange, id), task -> new Thread(task).start()));
+              () -> play.apply(one, id), task -> new Thread(task).start()));
     }
     List<String> wrong = new ArrayList<>();
-    for (int i = 0; i < exchanges.size(); i++) {
+    for (int i = 0; i < cases.size(); i++) {
       String result = results.get(i).get();
-      if (!result.equals("whole")) {
-        wrong.add(exchanges.get(i) + ": " + result);
+      if (!result.equals(expected)) {
+        wrong.add(cases.get(i) + ": " + result);
       }
     }
     assertEquals("", String.join("\n", wrong));
@@ -241,11 +247,7 @@
     SlowResponse response = new SlowResponse(framing, 163_813, 54_604, 0, 850);
     LargeUpload upload =
         new LargeUpload(Framing.LENGTH, 3_000_000, 6_000_000, Integer.MAX_VALUE, 760);
-    String path =
-        response.path()
-            + "&"
-            + SlowServer.readPath(upload.bytesPerSecond(), upload.maxBytes())
-                .substring("/api?".length());
+    String path = response.path() + "&" + upload.parameter();
     for (int i = 0; i < 3; i++) {
       Map<String, String> headers =
           headers("t-" + i, "order", Integer.toString(upload.waitMillis()));
@@ -272,20 +274,6 @@
         uploads.add(new LargeUpload(framing, bytes, 20_000, Integer.MAX_VALUE, 2_300));
       }
     }
-    List<CompletableFuture<String>> results = new ArrayList<>();
-    for (LargeUpload upload : uploads) {
-      String id = "t-" + results.size();
-      results.add(
-          CompletableFuture.supplyAsync(
-              () -> upload(address, upload, id), task -> new Thread(task).start()));
-    }
-    List<String> wrong = new ArrayList<>();
-    for (int i = 0; i < uploads.size(); i++) {
-      String result = results.get(i).get();
-      if (!result.equals("in time")) {
-        wrong.add(uploads.get(i) + ": " + result);
-      }
-    }
-    assertEquals("", String.join("\n", wrong));
+    assertAll("in time", uploads, (upload, id) -> upload(address, upload, id));
   }
 }
