--- a/review/kit-2/src/Config.java
+++ b/review/kit-2/src/Config.java
@@ -15,12 +15,13 @@
   int licenseAimMillis = 1_500;
   int deadlineMillis = 6_000;
   int windowMillis = 6_000;
+  double lateValue;
 
-  private static String requestClass(
+  private String requestClass(
       String name, int aimMillis, int deadlineMillis, String effect, int windowMillis, double worth) {
     return "{\"name\":\"" + name + "\",\"aim-ns\":" + aimMillis * 1_000_000L + ",\"deadline-ns\":"
         + deadlineMillis * 1_000_000L + ",\"idempotency\":\"" + effect + "\",\"group\":\"all\",\"key-ttl-ns\":"
-        + windowMillis * 1_000_000L + ",\"late-value\":0.0,\"streamed\":false,\"worth\":" + worth + "}";
+        + windowMillis * 1_000_000L + ",\"late-value\":" + lateValue + ",\"streamed\":false,\"worth\":" + worth + "}";
   }
 
   String text(Discovery discovery, Counter counter) {
