--- a/review/kit-2/src/Node.java
+++ b/review/kit-2/src/Node.java
@@ -113,7 +113,7 @@
 
   void signal(String signal) throws Exception {
     Record.line("%s gets SIG%s", name, signal);
-    new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).inheritIO().start().waitFor();
+    new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid()).inheritIO().start().waitFor();
   }
 
   /** SIGKILL; returns whether the process was still running. */
