--- a/review/kit-2/src/SlowReaderCase.java
+++ b/review/kit-2/src/SlowReaderCase.java
@@ -74,6 +74,7 @@
       threads.add(Peer.thread(() -> download(node, download, trouble)));
       Thread.sleep(100);
     }
+    Peer.thread(() -> follow(node));
     for (Thread thread : threads) {
       thread.join(105_000);
     }
@@ -93,6 +94,20 @@
     return cut > 0 ? 1 : 0;
   }
 
+  /** Writes to the record when the edge node's own figures no longer count the answers; the check does not use it. */
+  private static void follow(Node node) throws Exception {
+    String last = "";
+    while (node.process.isAlive()) {
+      for (String figure : node.call("vars").split("\n")) {
+        if (figure.contains("in_progress=") && !figure.equals(last)) {
+          last = figure;
+          Record.line("figures: %s", figure);
+        }
+      }
+      Thread.sleep(500);
+    }
+  }
+
   private static void download(Node node, Download download, boolean slowly) throws Exception {
     download.id = Client.newId();
     try (Client client = new Client(node.listen)) {
