Merge operators' ejections of both processes of an upgrade in their file

Cause: each process wrote its whole set, and so dropped what the other had stored since the last look. The same for zones. Two changes within one tick of the file system's clock had the same modification time and looked like none.

Evidence: the file, looked at every 30 ms before the fix: s-0 and s-1, then s-3 and s-2 alone.

Change: a command changes one name in the stored set, under a lock that excludes the other process; draft, sync, rename; changes are found by content. What can't be stored is answered NAK and has no effect. Files are written off the event loop.

--- a/edge/src/main/java/edgegateway/node/EdgeNode.java
+++ b/edge/src/main/java/edgegateway/node/EdgeNode.java
@@ -139,7 +139,7 @@
     budget =
         new DescriptorBudgetService(
             currentConfig, slots, upstreamPool, clients, bufferedBodies, relays);
-    ejections = new OperatorEjections(policyEvents, upstreamPool, currentConfig, folder);
+    ejections = new OperatorEjections(loop, policyEvents, upstreamPool, currentConfig, folder);
     operatorCommands = newOperatorCommands(currentConfig);
     for (String warning : budget.allocateForSingleProcess().clampWarnings()) {
       policyActions.log(warning);
--- a/edge/src/main/java/edgegateway/node/OperatorCommandService.java
+++ b/edge/src/main/java/edgegateway/node/OperatorCommandService.java
@@ -10,11 +10,10 @@
 import edgegateway.node.upstream.UpstreamPool;
 import edgegateway.policy.GatewayPolicy;
 import io.netty.channel.EventLoop;
-import java.io.IOException;
 import java.util.List;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 /**
@@ -86,7 +85,10 @@
 
   @Override
   public CompletableFuture<String> drain(boolean on) {
-    return runOnLoop(() -> clients.setDraining(on) ? null : "this process ends");
+    return runOnLoop(
+        () ->
+            CompletableFuture.completedFuture(
+                clients.setDraining(on) ? null : "this process ends"));
   }
 
   @Override
@@ -94,22 +96,45 @@
     return runOnLoop(() -> ejectOrReadmitEndpoint(endpointId, ejected));
   }
 
-  /** Returns null on success, otherwise the reason why the command was not executed. */
-  private String ejectOrReadmitEndpoint(String endpointId, boolean ejected) throws IOException {
+  /** Completes with null on success, otherwise with the reason why the command has failed. */
+  private CompletableFuture<String> ejectOrReadmitEndpoint(String endpointId, boolean ejected) {
     boolean[] listed = new boolean[1];
     if (policyEvents.policy() != null) {
       policyEvents.run(
           (policy, now) -> listed[0] = policy.setEndpointEjected(now, endpointId, ejected));
     }
     if (!listed[0]) {
-      return "never listed";
+      return CompletableFuture.completedFuture("never listed");
     }
     if (ejected) {
       upstreamPool.endpointEjected(endpointId);
     }
-    ejections.writeEndpoints();
     updateMetrics.run();
-    return null;
+    return answerWhenStored(
+        ejections.storeEndpoint(endpointId, ejected),
+        () -> {
+          boolean stored = ejections.isEndpointStoredAsEjected(endpointId);
+          policyEvents.run((policy, now) -> policy.setEndpointEjected(now, endpointId, stored));
+        });
+  }
+
+  /**
+   * Answers a command that this process has carried out once the other process of an upgrade, or a
+   * later one, will follow it too. A command that fails has no effect.
+   *
+   * @param undo brings this process back to what is stored
+   */
+  private CompletableFuture<String> answerWhenStored(
+      CompletableFuture<Void> stored, Runnable undo) {
+    return stored.handle(
+        (none, failure) -> {
+          if (failure == null) {
+            return null;
+          }
+          undo.run();
+          updateMetrics.run();
+          return "could not be stored: " + failure.getMessage();
+        });
   }
 
   @Override
@@ -117,12 +142,12 @@
     return runOnLoop(() -> ejectOrReadmitZone(zone, ejected, rampSeconds));
   }
 
-  /** Returns null on success, otherwise the reason why the command was not executed. */
-  private String ejectOrReadmitZone(String zone, boolean ejected, long rampSeconds)
-      throws IOException {
+  /** Completes with null on success, otherwise with the reason why the command has failed. */
+  private CompletableFuture<String> ejectOrReadmitZone(
+      String zone, boolean ejected, long rampSeconds) {
     int index = config.get().names().zones().indexOf(zone);
     if (index < 0) {
-      return "no such zone";
+      return CompletableFuture.completedFuture("no such zone");
     }
     long rampNanos =
         rampSeconds > 0
@@ -133,9 +158,8 @@
         (policy, now) ->
             applied[0] = policy != null && policy.setZoneEjected(now, index, ejected, rampNanos));
     if (!applied[0]) {
-      return "no server of another zone could be sent to";
+      return CompletableFuture.completedFuture("no server of another zone could be sent to");
     }
-    ejections.writeZones();
     if (ejected) {
       LOG.info("zone_ejected", field("zone", zone), field("by", "operator"));
     } else {
@@ -146,7 +170,12 @@
           field("ramp_s", TimeUnit.NANOSECONDS.toSeconds(rampNanos)));
     }
     updateMetrics.run();
-    return null;
+    return answerWhenStored(
+        ejections.storeZone(zone, ejected),
+        () -> {
+          boolean stored = ejections.isZoneStoredAsEjected(zone);
+          policyEvents.run((policy, now) -> policy.setZoneEjected(now, index, stored, rampNanos));
+        });
   }
 
   @Override
@@ -159,21 +188,18 @@
           for (int zone = 0; policy != null && zone < names.size(); zone++) {
             report.add(names.get(zone), policy.zoneStatus(zone), zoneEjection.decision(zone));
           }
-          return report.toString();
+          return CompletableFuture.completedFuture(report.toString());
         });
   }
 
-  private CompletableFuture<String> runOnLoop(Callable<String> command) {
-    CompletableFuture<String> result = new CompletableFuture<>();
-    loop.execute(
-        () -> {
-          try {
-            result.complete(command.call());
-          } catch (Exception e) {
-            LOG.warn("operator_command_failed", field("error", e));
-            result.completeExceptionally(e);
-          }
-        });
-    return result;
+  private CompletableFuture<String> runOnLoop(Supplier<CompletableFuture<String>> command) {
+    return CompletableFuture.supplyAsync(command, loop)
+        .thenCompose(Function.identity())
+        .whenComplete(
+            (answer, failure) -> {
+              if (failure != null) {
+                LOG.warn("operator_command_failed", field("error", failure));
+              }
+            });
   }
 }
--- a/edge/src/main/java/edgegateway/node/OperatorEjections.java
+++ b/edge/src/main/java/edgegateway/node/OperatorEjections.java
@@ -2,28 +2,34 @@
 
 import edgegateway.node.config.NodeConfig;
 import edgegateway.node.operators.EjectionFile;
+import edgegateway.node.operators.EjectionStore;
 import edgegateway.node.upstream.UpstreamPool;
-import java.io.IOException;
 import java.nio.file.Path;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /**
  * Synchronizes operators' ejections between the two processes of an upgrade. The policy of each
- * process holds them; two files, one for endpoints and one for zones, transfer them to the other
- * process and to a later one. Used on the event loop's thread only.
+ * process holds them; two files, one for endpoints and one for zones, transfer each command to the
+ * other process and to a later one. Used on the event loop's thread only.
  */
 final class OperatorEjections {
   private static final String ENDPOINTS_FILE = "left-out";
   private static final String ZONES_FILE = "zones-out";
+  private static final long FILE_THREAD_IDLE_SECONDS = 1;
 
   private final PolicyEventLoop policyEvents;
   private final UpstreamPool upstreamPool;
   private final Supplier<NodeConfig> config;
-  private final EjectionFile endpointsFile;
-  private final EjectionFile zonesFile;
+  private final EjectionStore endpoints;
+  private final EjectionStore zones;
 
   /**
    * Creates an instance; this neither reads nor writes a file.
@@ -32,6 +38,7 @@
    * @param folder folder of the two files; null if nothing is to outlive the process
    */
   OperatorEjections(
+      Executor eventLoop,
       PolicyEventLoop policyEvents,
       UpstreamPool upstreamPool,
       Supplier<NodeConfig> config,
@@ -39,20 +46,38 @@
     this.policyEvents = policyEvents;
     this.upstreamPool = upstreamPool;
     this.config = config;
-    endpointsFile = new EjectionFile(folder, ENDPOINTS_FILE);
-    zonesFile = new EjectionFile(folder, ZONES_FILE);
+    Executor fileThread = newFileThread();
+    EjectionFile endpointsFile = new EjectionFile(folder, ENDPOINTS_FILE);
+    endpoints = new EjectionStore(endpointsFile, "endpoints", fileThread, eventLoop);
+    EjectionFile zonesFile = new EjectionFile(folder, ZONES_FILE);
+    zones = new EjectionStore(zonesFile, "zones", fileThread, eventLoop);
   }
 
-  /** Applies the files if another process of this node, running or earlier, has changed them. */
+  /** Creates an executor whose only thread exists while it has work. */
+  private static Executor newFileThread() {
+    return new ThreadPoolExecutor(
+        0,
+        1,
+        FILE_THREAD_IDLE_SECONDS,
+        TimeUnit.SECONDS,
+        new LinkedBlockingQueue<>(),
+        task -> {
+          Thread thread = new Thread(task, "operator-ejections");
+          thread.setDaemon(true);
+          return thread;
+        });
+  }
+
+  /** Applies the files if they have changed, by another process of this node, too. */
   void applyFileChanges() {
-    Set<String> endpoints = endpointsFile.readIfChanged();
-    if (endpoints != null) {
-      policyEvents.run((policy, now) -> policy.restoreEjectedEndpoints(now, endpoints));
-      endpoints.forEach(upstreamPool::endpointEjected);
+    Set<String> ejectedEndpoints = endpoints.readIfChanged();
+    if (ejectedEndpoints != null) {
+      policyEvents.run((policy, now) -> policy.restoreEjectedEndpoints(now, ejectedEndpoints));
+      ejectedEndpoints.forEach(upstreamPool::endpointEjected);
     }
-    Set<String> zones = zonesFile.readIfChanged();
-    if (zones != null) {
-      Set<Integer> indexes = indexesOf(zones);
+    Set<String> ejectedZones = zones.readIfChanged();
+    if (ejectedZones != null) {
+      Set<Integer> indexes = indexesOf(ejectedZones);
       policyEvents.run((policy, now) -> policy.restoreEjectedZones(now, indexes));
     }
   }
@@ -70,18 +95,27 @@
     return indexes;
   }
 
-  /** Writes the endpoints that operators have ejected to the file. */
-  void writeEndpoints() throws IOException {
-    endpointsFile.write(policyEvents.policy().operatorEjectedEndpoints());
+  /**
+   * Stores a command about an endpoint that the policy has carried out.
+   *
+   * @return completes on the event loop, exceptionally if the command was not stored
+   */
+  CompletableFuture<Void> storeEndpoint(String endpointId, boolean ejected) {
+    return endpoints.store(endpointId, ejected);
   }
 
-  /** Writes the zones that operators have ejected to the file. */
-  void writeZones() throws IOException {
-    List<String> zoneNames = config.get().names().zones();
-    Set<String> names = new HashSet<>();
-    for (int zone : policyEvents.policy().operatorEjectedZones()) {
-      names.add(zoneNames.get(zone));
-    }
-    zonesFile.write(names);
+  /** Stores a command about a zone that the policy has carried out; see {@link #storeEndpoint}. */
+  CompletableFuture<Void> storeZone(String zone, boolean ejected) {
+    return zones.store(zone, ejected);
+  }
+
+  /** Whether the endpoint is ejected as far as the other process and a later one know. */
+  boolean isEndpointStoredAsEjected(String endpointId) {
+    return endpoints.isStoredAsEjected(endpointId);
+  }
+
+  /** See {@link #isEndpointStoredAsEjected}. */
+  boolean isZoneStoredAsEjected(String zone) {
+    return zones.isStoredAsEjected(zone);
   }
 }
--- a/edge/src/main/java/edgegateway/policy/GatewayPolicy.java
+++ b/edge/src/main/java/edgegateway/policy/GatewayPolicy.java
@@ -271,11 +271,6 @@
     return router.zonesEjectedByOperator();
   }
 
-  /** Ids of the endpoints that operators have ejected, in the list or not. */
-  public Set<String> operatorEjectedEndpoints() {
-    return router.endpointsEjectedByOperator();
-  }
-
   /**
    * Ids of the listed endpoints that get no requests now: ejected by an operator or with their
    * zone, draining, or outliers.
--- a/edge/src/main/java/edgegateway/policy/routing/EndpointRouter.java
+++ b/edge/src/main/java/edgegateway/policy/routing/EndpointRouter.java
@@ -282,11 +282,6 @@
     return zones.ejectedByOperator();
   }
 
-  /** The ids of the endpoints that are ejected by operators now, listed or not. */
-  public Set<String> endpointsEjectedByOperator() {
-    return Set.copyOf(registry.ejectedByOperator());
-  }
-
   /**
    * The ids of the listed endpoints that get no or hardly any requests: draining, ejected by an
    * operator (alone or with their zone), or outliers.
--- a/edge/src/test/java/edgegateway/node/OperatorServerTest.java
+++ b/edge/src/test/java/edgegateway/node/OperatorServerTest.java
@@ -223,6 +223,46 @@
     }
   }
 
+  /** Guards against ejections that are lost when both processes of an upgrade accept them. */
+  @Test
+  void commandsAtBothProcessesOfAnUpgradeAllHold() throws Exception {
+    FakePeer server = peer(m -> m.answer(FakePeer.ok("", "x")));
+    String config = config(asManyMembers(server));
+    EdgeNode oldNode = startNode(config, folder);
+    EdgeNode newNode = startNode(config, folder);
+    List<OperatorServer> both = List.of(ops(oldNode), ops(newNode));
+    for (int i = 0; i < 12; i++) {
+      assertEquals("ACK", ackOrNak(both.get(i % 2), "set-down s-" + i));
+    }
+    for (int i = 0; i < 4; i++) {
+      assertEquals("ACK", ackOrNak(both.get(i / 2), "set-up s-" + i));
+    }
+    for (OperatorServer ops : both) {
+      awaitMetric(ops, "app.skipped_archive_servers", "8");
+    }
+    // Files of the two processes could still undo something at the next look.
+    assertEquals("ACK", ackOrNak(both.get(0), "set-down s-20"));
+    for (OperatorServer ops : both) {
+      awaitMetric(ops, "app.skipped_archive_servers", "9");
+    }
+    OperatorServer laterOps = ops(startNode(config, folder));
+    awaitMetric(laterOps, "app.skipped_archive_servers", "9");
+  }
+
+  @Test
+  void aCommandThatCannotBeStoredIsRefusedAndHasNoEffect() throws Exception {
+    FakePeer server = peer(m -> m.answer(FakePeer.ok("", "x")));
+    EdgeNode node = startNode(config(asManyMembers(server)), folder);
+    OperatorServer ops = ops(node);
+    Path obstacle = Files.createDirectory(folder.resolve("left-out.json.draft"));
+    assertEquals("NAK", ackOrNak(ops, "set-down s-0"));
+    assertEquals("0", vars(ops).get("app.skipped_archive_servers"));
+    Files.delete(obstacle);
+    assertEquals("ACK", ackOrNak(ops, "set-down s-1"));
+    assertEquals("1", vars(ops).get("app.skipped_archive_servers"));
+    assertEquals("[\"s-1\"]", Files.readString(folder.resolve("left-out.json")));
+  }
+
   @Test
   void aZoneEjectedByAnOperatorIsNotUsedUntilReadmitted() throws Exception {
     FakePeer first = peer(m -> m.answer(FakePeer.ok("", "x")));
