Allow a slow reader the time to free a third of a grown send buffer

Cause: 8 s without an accepted write were taken for a client that does not read. Linux accepts more only when a third of the send buffer is free; the buffer grows to 4 MB, so that third takes such a client 20 s.

Evidence: new log line transfer_stalled, once for each cut answer: stalled=sink idle_ms=8147 source_silent_ms=0; nothing else ended them. Plain sockets show up to 12.7 s between two accepted writes with any send buffer.

Change: WriteStallTimeout adds to the 8 s what a peer at 48 kB/s needs for a third of the socket's present send buffer; used for streamed bodies in both directions and for complete responses that wait to be written. A silent source still has 8 s.

--- a/edge/src/main/java/edgegateway/node/clients/ClientSession.java
+++ b/edge/src/main/java/edgegateway/node/clients/ClientSession.java
@@ -3,9 +3,9 @@
 import static edgegateway.node.logging.EventLog.field;
 
 import edgegateway.node.connections.BufferedBodies;
+import edgegateway.node.connections.ChannelTransport;
 import edgegateway.node.connections.ClientConnection;
 import edgegateway.node.connections.ConnectionMetrics.CloseReason;
-import edgegateway.node.connections.TransportHandle;
 import edgegateway.node.logging.EventLog;
 import edgegateway.node.requests.InFlightRequest;
 import io.netty.channel.Channel;
@@ -28,8 +28,7 @@
  * in {@link PipelinedMessages}; {@link RequestReceiver} turns them into requests and {@link
  * ResponseSender} writes the responses. Not thread-safe: used on the event loop's thread only.
  */
-final class ClientSession extends SimpleChannelInboundHandler<HttpObject>
-    implements TransportHandle {
+final class ClientSession extends SimpleChannelInboundHandler<HttpObject> {
   private static final EventLog LOG = EventLog.console();
   private static final String DUPLICATE_ID = "a request of this id is open";
 
@@ -94,7 +93,11 @@
     connection =
         context
             .connections()
-            .accept(System.nanoTime(), channel.remoteAddress(), context.tls(), this);
+            .accept(
+                System.nanoTime(),
+                channel.remoteAddress(),
+                context.tls(),
+                new ChannelTransport(channel));
     responses = new ResponseSender(this, channel, connection, persistence);
     receiver = new RequestReceiver(this, channel, connection, responses, persistence, context);
     presence = new ClientPresenceCheck(this, channel, responses, persistence, context);
@@ -112,12 +115,6 @@
     context.server().connectionOpened();
   }
 
-  /** Closes the socket; called by the connection table. */
-  @Override
-  public void close() {
-    channel.close();
-  }
-
   /**
    * Ends the request in flight and all further ones at once, and closes the socket when the
    * complete responses to earlier requests are written. See UnwrittenResponseTest.
--- a/edge/src/main/java/edgegateway/node/connections/ClientConnection.java
+++ b/edge/src/main/java/edgegateway/node/connections/ClientConnection.java
@@ -252,9 +252,10 @@
     return bodyBytes;
   }
 
-  /** Time since the last write progress; 0 if no write is pending. */
-  long writeStalledNanos(long nowNanos) {
-    return pendingWrites > 0 ? nowNanos - lastWriteProgressAtNanos : 0;
+  /** Whether a response is pending that the client does not read. */
+  boolean isWriteStalled(long nowNanos) {
+    return pendingWrites > 0
+        && WriteStallTimeout.isExpired(nowNanos - lastWriteProgressAtNanos, transport);
   }
 
   boolean awaitsFirstHeadOverTls() {
--- a/edge/src/main/java/edgegateway/node/connections/ClientTimeouts.java
+++ b/edge/src/main/java/edgegateway/node/connections/ClientTimeouts.java
@@ -25,9 +25,6 @@
   /** Timeout of the request on a connection accepted over capacity, which is then rejected. */
   static final long OVER_CAPACITY_TIMEOUT_NANOS = 500 * NANOS_PER_MILLI;
 
-  /** Maximum time without progress in writing a response. */
-  static final long WRITE_STALL_TIMEOUT_NANOS = 8_000 * NANOS_PER_MILLI;
-
   /** How long new connections keep arriving after a drain began: up to 0.4 s, plus a margin. */
   static final long DRAIN_GRACE_NANOS = 600 * NANOS_PER_MILLI;
 
@@ -55,8 +52,7 @@
   CloseReason expired(ClientConnection connection, long nowNanos) {
     if (connection.hasUnwrittenResponse()) {
       // Any other close would cut the response, whatever the client sends meanwhile.
-      boolean stalled = connection.writeStalledNanos(nowNanos) > WRITE_STALL_TIMEOUT_NANOS;
-      return stalled ? CloseReason.RESPONSE_NOT_READ : null;
+      return connection.isWriteStalled(nowNanos) ? CloseReason.RESPONSE_NOT_READ : null;
     }
     State state = connection.state();
     if (connection.isOverCapacity()
--- a/edge/src/main/java/edgegateway/node/requests/BodyRelay.java
+++ b/edge/src/main/java/edgegateway/node/requests/BodyRelay.java
@@ -1,5 +1,10 @@
 package edgegateway.node.requests;
 
+import static edgegateway.node.logging.EventLog.field;
+
+import edgegateway.node.connections.ChannelTransport;
+import edgegateway.node.connections.WriteStallTimeout;
+import edgegateway.node.logging.EventLog;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
@@ -18,6 +23,8 @@
  * only.
  */
 public final class BodyRelay {
+  private static final EventLog LOG = EventLog.console();
+
   /** Memory that each chunk of a body takes in addition to its content. */
   private static final int CHUNK_OVERHEAD_BYTES = 256;
 
@@ -129,8 +136,10 @@
   }
 
   private boolean isStalled(long nowNanos) {
-    return nowNanos - lastProgressNanos > Group.STALL_TIMEOUT_NANOS
-        || sourceSilentNanos(nowNanos) > sourceStallTimeoutNanos;
+    return sourceSilentNanos(nowNanos) > sourceStallTimeoutNanos
+        || bytesInFlight > 0
+            && WriteStallTimeout.isExpired(
+                nowNanos - lastProgressNanos, new ChannelTransport(sink));
   }
 
   /**
@@ -142,6 +151,13 @@
     boolean sourceStalled =
         bytesInFlight == 0 || sourceSilentNanos(nowNanos) > sourceStallTimeoutNanos;
     Channel stalled = sourceStalled ? source : sink;
+    LOG.warn(
+        "transfer_stalled",
+        field("stalled", sourceStalled ? "source" : "sink"),
+        field("received_bytes", receivedBytes),
+        field("unwritten_bytes", bytesInFlight),
+        field("idle_ms", TimeUnit.NANOSECONDS.toMillis(nowNanos - lastProgressNanos)),
+        field("source_silent_ms", TimeUnit.NANOSECONDS.toMillis(sourceSilentNanos(nowNanos))));
     stalled.pipeline().fireExceptionCaught(new IOException("no progress in forwarding the body"));
   }
 
@@ -154,7 +170,7 @@
 
     private static final int MIN_BYTES_PER_RELAY = 8 << 10;
     private static final int MAX_BYTES_PER_RELAY = 128 << 10;
-    private static final long STALL_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(8);
+    private static final long DOWNLOAD_STALL_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(8);
 
     /** A client that stops within its request is owed an error or a close within 3 s. */
     private static final long UPLOAD_STALL_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_200);
@@ -181,7 +197,7 @@
      * off: the relay requests each further read.
      */
     public BodyRelay start(Channel source, Channel sink) {
-      return start(source, sink, STALL_TIMEOUT_NANOS, () -> {});
+      return start(source, sink, DOWNLOAD_STALL_TIMEOUT_NANOS, () -> {});
     }
 
     /**
--- a/edge/src/test/java/edgegateway/node/UnwrittenResponseTest.java
+++ b/edge/src/test/java/edgegateway/node/UnwrittenResponseTest.java
@@ -5,7 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.Socket;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
@@ -28,6 +30,13 @@
   /** Together more than the kernel buffers for one connection on loopback. */
   private static final int RESPONSE_COUNT = 84;
 
+  /** More than the kernel buffers for one connection on loopback. */
+  private static final int LONG_BYTES = 8_000_000;
+
+  private static final int SLOW_READ_BYTES_PER_MILLI = 64;
+  private static final int SLOW_READ_STEP_MILLIS = 100;
+  private static final int SLOW_READ_MILLIS = 12_000;
+
   /** What happens to the connection while responses are unwritten. */
   private interface Event {
     void happen(EdgeNode node, Socket client) throws Exception;
@@ -107,6 +116,48 @@
     assertEquals(0, metric(node, "connections.responses_cut"));
   }
 
+  /**
+   * Reads at the lowest rate that clients may read at, so slowly that the kernel's buffer stays
+   * full.
+   */
+  private static byte[] readSlowly(Socket client) throws Exception {
+    InputStream in = client.getInputStream();
+    ByteArrayOutputStream read = new ByteArrayOutputStream();
+    for (int i = 0; i < SLOW_READ_MILLIS / SLOW_READ_STEP_MILLIS; i++) {
+      Thread.sleep(SLOW_READ_STEP_MILLIS);
+      read.write(in.readNBytes(SLOW_READ_BYTES_PER_MILLI * SLOW_READ_STEP_MILLIS));
+    }
+    return read.toByteArray();
+  }
+
+  /** Guards against taking a client that reads at 64 kB a second for one that does not read. */
+  @Test
+  void aLongResponseIsNotCutThoughItsClientReadsSlowly() throws Exception {
+    FakePeer server = peer(message -> message.answer(FakePeer.ok("", "x".repeat(LONG_BYTES))));
+    EdgeNode node = startNode(server);
+    Socket client = client(node);
+    sendRequest(client, "GET /api", headers("t-1", "lookup", "6000"), "");
+    String head = readHead(client.getInputStream());
+    assertTrue(head.startsWith("HTTP/1.1 200"), head);
+    int slowlyRead = readSlowly(client).length;
+    assertEquals(
+        LONG_BYTES - slowlyRead,
+        client.getInputStream().readNBytes(LONG_BYTES - slowlyRead).length,
+        "bytes read after " + slowlyRead);
+  }
+
+  /** As the test above, for complete responses that wait to be written. */
+  @Test
+  void completeResponsesAreNotCutThoughTheirClientReadsSlowly() throws Exception {
+    EdgeNode node = startNodeWithLimits("{}");
+    Socket client = clientBehindItsResponses(node);
+    byte[] slowlyRead = readSlowly(client);
+    byte[] rest =
+        client.getInputStream().readNBytes(RESPONSE_COUNT * RESPONSE_BYTES - slowlyRead.length);
+    assertEquals(RESPONSE_COUNT * RESPONSE_BYTES, slowlyRead.length + rest.length);
+    assertEquals(0, metric(node, "connections.responses_cut"));
+  }
+
   /** Guards against a planned restart that cuts responses their clients are still reading. */
   @Test
   void stoppingTheNodeCutsNoResponse() throws Exception {
--- a/edge/src/test/java/edgegateway/node/connections/ClientTimeoutsTest.java
+++ b/edge/src/test/java/edgegateway/node/connections/ClientTimeoutsTest.java
@@ -99,6 +99,28 @@
     assertNull(expiredAfter(connection, 1_000_000));
   }
 
+  /** Guards against a timeout within which a client at 64 kB/s frees too little of the buffer. */
+  @Test
+  void theTimeoutOfAWriteAllowsForTheSizeOfTheSendBuffer() {
+    TransportHandle transport =
+        new TransportHandle() {
+          @Override
+          public void close() {}
+
+          @Override
+          public int sendBufferBytes() {
+            return 4_320_000;
+          }
+        };
+    ClientConnection connection =
+        table.accept(START_NANOS, new InetSocketAddress("10.0.0.1", 1), false, transport);
+    connection.headReceived(START_NANOS);
+    connection.requestReceived();
+    connection.writeStarted(START_NANOS);
+    connection.responseSubmitted(START_NANOS);
+    assertExpiresAfter(connection, 38_000, CloseReason.RESPONSE_NOT_READ);
+  }
+
   @Test
   void aConnectionOverCapacityHasAShortTimeout() {
     accept(false);
