Answer every request before the kill of a planned restart

Cause: nothing bounded a request's time by the kill, which comes 0.7 s after the longest client timeout, of which 3 s count; an upload had no time at all.

Evidence: of seven requests at hanging servers the two that came before 2.2 s were answered after 1,502 ms, the timeout of their attempt; the five later ones were still held by their servers at the kill.

Change: policy.admission.ShutdownDeadline, 0.3 s before the kill, bounds the time of every request from the stop on, in flight or to come. What is incomplete then is failed, what comes later is refused at once. New reason STOPPING in the log.

--- a/edge/src/main/java/edgegateway/node/EdgeNode.java
+++ b/edge/src/main/java/edgegateway/node/EdgeNode.java
@@ -60,6 +60,7 @@
   private final CounterClient counter;
   private final DiscoveryClient discovery;
   private final PolicyEventLoop policyEvents;
+  private final InFlightRequestTable requests;
   private final NodePolicyActions policyActions;
   private final EndpointListUpdater endpointLists;
   private final ZoneEjectionService zoneEjection;
@@ -118,8 +119,7 @@
     recentIds = new RecentRequestIds(folder, slots);
 
     policyEvents = new PolicyEventLoop(loop);
-    InFlightRequestTable requests =
-        new InFlightRequestTable(policyEvents, metrics, this, recentIds);
+    requests = new InFlightRequestTable(policyEvents, metrics, this, recentIds);
     upstreamPool =
         new UpstreamPool(
             requests, loop, config, connectionMetrics, metrics, bufferedBodies, relays);
@@ -288,6 +288,9 @@
     boolean hasSuccessor = slots.isOtherProcessAccepting();
     slots.setAccepting(false);
     zoneEjection.stopVoting();
+    if (policyEvents.policy() != null) {
+      requests.stopping(policyEvents.policy().answerByNanosOfStop(policyEvents.nowNanos()));
+    }
     clients.stop(drained, hasSuccessor);
     return hasSuccessor ? policyEvents.policy().exportState(policyEvents.nowNanos()) : null;
   }
--- a/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
+++ b/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
@@ -53,6 +53,9 @@
   private final StreamDeadlines streamDeadlines;
   private final Map<String, InFlightRequest> inFlight = new HashMap<>();
 
+  /** By when all requests must be answered, as the process stops; until then the end of time. */
+  private long answerByNanos = Long.MAX_VALUE;
+
   InFlightRequestTable(
       PolicyEventLoop policyEvents,
       NodeMetrics metrics,
@@ -65,6 +68,24 @@
     this.health = health;
   }
 
+  /**
+   * Called when the process stops: bounds the time of all requests, in flight and to come, so that
+   * none is unanswered when the process is killed.
+   */
+  void stopping(long newAnswerByNanos) {
+    answerByNanos = newAnswerByNanos;
+    for (InFlightRequest request : List.copyOf(inFlight.values())) {
+      if (!request.responseClaimed) {
+        cancelDeadline(request);
+        if (request.clientDeadlineNanos == Long.MAX_VALUE) {
+          scheduleUploadDeadline(request);
+        } else {
+          scheduleDeadline(request, request.clientDeadlineNanos);
+        }
+      }
+    }
+  }
+
   // Events from the client side.
 
   @Override
@@ -74,7 +95,9 @@
 
   @Override
   public long policyDeadlineNanos(long nowNanos, long clientTimeoutNanos) {
-    return nowNanos + Math.max(MIN_WAIT_NANOS, clientTimeoutNanos - POLICY_DEADLINE_MARGIN_NANOS);
+    long deadlineNanos =
+        nowNanos + Math.max(MIN_WAIT_NANOS, clientTimeoutNanos - POLICY_DEADLINE_MARGIN_NANOS);
+    return Math.min(deadlineNanos, answerByNanos - POLICY_DEADLINE_MARGIN_NANOS);
   }
 
   @Override
@@ -368,10 +391,11 @@
    * policy has not decided.
    */
   private void scheduleDeadline(InFlightRequest request, long deadlineNanos) {
-    request.clientDeadlineNanos = deadlineNanos;
+    request.clientDeadlineNanos = Math.min(deadlineNanos, answerByNanos);
     request.clientDeadlineTimer =
         policyEvents.scheduleAt(
-            deadlineNanos - LOCAL_FAILURE_MARGIN_NANOS, () -> deadlineReached(request));
+            request.clientDeadlineNanos - LOCAL_FAILURE_MARGIN_NANOS,
+            () -> deadlineReached(request));
   }
 
   /**
@@ -380,16 +404,19 @@
    * been sent at any time since.
    */
   private void scheduleUploadDeadline(InFlightRequest request) {
-    long leftNanos = request.clientTimeoutNanos - request.upload.possibleWaitNanos();
     request.clientDeadlineTimer =
         policyEvents.scheduleAt(
-            nowNanos() + leftNanos - LOCAL_FAILURE_MARGIN_NANOS,
+            nowNanos() + untilUploadDeadlineNanos(request) - LOCAL_FAILURE_MARGIN_NANOS,
             () -> uploadDeadlineReached(request));
   }
 
+  private long untilUploadDeadlineNanos(InFlightRequest request) {
+    long clientWaitsNanos = request.upload.possibleWaitNanos();
+    return Math.min(request.clientTimeoutNanos - clientWaitsNanos, answerByNanos - nowNanos());
+  }
+
   private void uploadDeadlineReached(InFlightRequest request) {
-    long leftNanos = request.clientTimeoutNanos - request.upload.possibleWaitNanos();
-    if (leftNanos <= LOCAL_FAILURE_MARGIN_NANOS) {
+    if (untilUploadDeadlineNanos(request) <= LOCAL_FAILURE_MARGIN_NANOS) {
       deadlineReached(request);
     } else {
       scheduleUploadDeadline(request);
@@ -404,7 +431,8 @@
 
   private void deadlineReached(InFlightRequest request) {
     if (!request.responseClaimed) {
-      fail(request, Reason.DEADLINE);
+      boolean stopping = nowNanos() >= answerByNanos - LOCAL_FAILURE_MARGIN_NANOS;
+      fail(request, stopping ? Reason.STOPPING : Reason.DEADLINE);
       policyEvents.run((policy, now) -> policy.clientDisconnected(now, request.request.id()));
       request.cancelUnsentAttempt();
       if (request.upload != null) {
--- a/edge/src/main/java/edgegateway/node/RequestEndLog.java
+++ b/edge/src/main/java/edgegateway/node/RequestEndLog.java
@@ -24,6 +24,8 @@
     POLICY,
     /** The client's deadline came before the policy's decision. */
     DEADLINE,
+    /** The process will be killed before the client's deadline. */
+    STOPPING,
     /** It is not known whether its client is still connected. */
     CLIENT_NOT_SEEN,
     /** The archive server did not complete a streamed response. */
--- a/edge/src/main/java/edgegateway/policy/GatewayPolicy.java
+++ b/edge/src/main/java/edgegateway/policy/GatewayPolicy.java
@@ -1,5 +1,6 @@
 package edgegateway.policy;
 
+import edgegateway.policy.admission.ShutdownDeadline;
 import edgegateway.policy.api.AttemptResult;
 import edgegateway.policy.api.Endpoint;
 import edgegateway.policy.api.EndpointListKind;
@@ -197,6 +198,11 @@
     return LongResponses.goesOnAfterDeadline(progress, lateNanos);
   }
 
+  /** See {@link ShutdownDeadline#answerByNanos}; for a stop that begins now. */
+  public long answerByNanosOfStop(long nowNanos) {
+    return ShutdownDeadline.answerByNanos(nowNanos, settings.requestClasses());
+  }
+
   /** Updates the limits and sends queued requests after a change of the selectable endpoints. */
   private void endpointsChanged() {
     updateCapacity();
