Do not cut a long response of no length whose beginning is written slowly

Cause: below 16 KiB such a response counted as short whatever its server did, and was cut 0.4 s after its client's time.

Evidence: of 36 slow responses of the new test 24 were cut, all without a length and with under 16 KiB at that time; the 12 with a length came whole.

Change: a body whose parts came over 0.3 s or more is written slowly and counts as long; what breaks off has sent at once what it sends. Its held beginning is passed on after 1 s, too. response_given_up tells for how long the server was writing.

--- a/edge/src/main/java/edgegateway/node/RequestEndLog.java
+++ b/edge/src/main/java/edgegateway/node/RequestEndLog.java
@@ -86,6 +86,7 @@
         field("declared_bytes", progress.declaredBytes()),
         field("received_bytes", progress.receivedBytes()),
         field("silent_ms", TimeUnit.NANOSECONDS.toMillis(progress.silentNanos())),
+        field("writing_ms", TimeUnit.NANOSECONDS.toMillis(progress.writingNanos())),
         field("late_ms", TimeUnit.NANOSECONDS.toMillis(lateNanos)),
         field("left_out", responseLines.takeLeftOut()));
   }
--- a/edge/src/main/java/edgegateway/node/upstream/UpstreamConnectionHandler.java
+++ b/edge/src/main/java/edgegateway/node/upstream/UpstreamConnectionHandler.java
@@ -64,9 +64,12 @@
   /** Streams a long response body to the client; null while the body is buffered. */
   private BodyRelay relay;
 
-  /** When the first bytes of {@link #body} arrived. */
+  /** When the first bytes of the body arrived. */
   private long bodyStartedNanos;
 
+  /** When the latest bytes of the body arrived. */
+  private long bodyContinuedNanos;
+
   /** Whether {@link #checkHold} is scheduled; then it serves the next response, too. */
   private boolean holdCheckScheduled;
 
@@ -214,6 +217,12 @@
   }
 
   private void bodyReceived(ByteBuf chunk) {
+    if (chunk.isReadable()) {
+      bodyContinuedNanos = lastReceivedNanos;
+      if (receivedBodyBytes() == 0) {
+        bodyStartedNanos = lastReceivedNanos;
+      }
+    }
     if (relay != null) {
       relay.forward(chunk.retain());
       return;
@@ -229,7 +238,6 @@
               .alloc()
               .buffer((int) Math.min(UpstreamPool.MAX_BUFFERED_RESPONSE_BYTES, wantedBytes));
       bodyAccount = context.bufferedBodies().newBody(attempt.request().request.customer());
-      bodyStartedNanos = lastReceivedNanos;
     }
     body.writeBytes(chunk);
     boolean withinMemoryLimit = bodyAccount.tryResize(body.capacity());
@@ -274,9 +282,14 @@
 
   /** How far the response to the attempt has come. */
   private ResponseProgress progress() {
+    long receivedBytes = receivedBodyBytes();
+    long writingNanos = receivedBytes == 0 ? 0 : bodyContinuedNanos - bodyStartedNanos;
+    return new ResponseProgress(declaredBytes(), receivedBytes, silentNanos(), writingNanos);
+  }
+
+  private long receivedBodyBytes() {
     long bufferedBytes = body == null ? 0 : body.readableBytes();
-    long receivedBytes = relay == null ? bufferedBytes : relay.receivedBytes();
-    return new ResponseProgress(declaredBytes(), receivedBytes, silentNanos());
+    return relay == null ? bufferedBytes : relay.receivedBytes();
   }
 
   private long declaredBytes() {
--- a/edge/src/main/java/edgegateway/policy/retry/LongResponses.java
+++ b/edge/src/main/java/edgegateway/policy/retry/LongResponses.java
@@ -18,6 +18,12 @@
   /** From here on an incomplete response that may be long is taken for long, in bytes. */
   static final long MIN_BYTES_OF_LIKELY_LONG = 16 << 10;
 
+  /**
+   * A server that has been writing for so long writes slowly, as those of long responses do: one
+   * that breaks off has sent at once what it sends, and no stall of this process lasts as long.
+   */
+  private static final long MIN_SLOW_WRITING_NANOS = 300 * Durations.NANOS_PER_MILLISECOND;
+
   /** A server that sends nothing for longer has stopped; as long as any client waits. */
   private static final long MAX_PAUSE_NANOS = 3 * Durations.NANOS_PER_SECOND;
 
@@ -38,7 +44,7 @@
    */
   public static boolean streamsBuffered(ResponseProgress progress, long heldNanos) {
     return mayBeLong(progress)
-        && progress.receivedBytes() >= MIN_BYTES_OF_LIKELY_LONG
+        && (hasMuchArrived(progress) || isWrittenSlowly(progress))
         && heldNanos >= MAX_HOLD_NANOS;
   }
 
@@ -85,7 +91,15 @@
   }
 
   private static boolean isLikelyLong(ResponseProgress progress) {
-    return !isLengthUnknown(progress) || progress.receivedBytes() >= MIN_BYTES_OF_LIKELY_LONG;
+    return !isLengthUnknown(progress) || hasMuchArrived(progress) || isWrittenSlowly(progress);
+  }
+
+  private static boolean hasMuchArrived(ResponseProgress progress) {
+    return progress.receivedBytes() >= MIN_BYTES_OF_LIKELY_LONG;
+  }
+
+  private static boolean isWrittenSlowly(ResponseProgress progress) {
+    return progress.writingNanos() >= MIN_SLOW_WRITING_NANOS;
   }
 
   private static boolean isLengthUnknown(ResponseProgress progress) {
--- a/edge/src/test/java/edgegateway/node/RequestEndLogTest.java
+++ b/edge/src/test/java/edgegateway/node/RequestEndLogTest.java
@@ -74,12 +74,12 @@
 
   @Test
   void aLineTellsHowFarAResponseThatIsGivenUpHadCome() {
-    ResponseProgress progress = new ResponseProgress(163_813, 54_604, 683_000_000);
+    ResponseProgress progress = new ResponseProgress(163_813, 54_604, 683_000_000, 12_000_000);
     log.responseGivenUp(request, "s-0", progress, false, -12_000_000, 0);
     assertEquals(
         List.of(
             "response_given_up id=t-1 endpoint=s-0 streamed=false declared_bytes=163813"
-                + " received_bytes=54604 silent_ms=683 late_ms=-12 left_out=0"),
+                + " received_bytes=54604 silent_ms=683 writing_ms=12 late_ms=-12 left_out=0"),
         lines());
   }
 }
--- a/edge/src/test/java/edgegateway/node/SlowServerTest.java
+++ b/edge/src/test/java/edgegateway/node/SlowServerTest.java
@@ -161,6 +161,24 @@
     assertAllWhole(exchanges);
   }
 
+  /** Guards against taking a long response for short while little of it has come. */
+  @Test
+  void aLongResponseIsNotCutOffThoughItsBeginningIsWrittenSlowly() throws Exception {
+    List<Exchange> exchanges = new ArrayList<>();
+    for (String requestClass : new String[] {"lookup", "order", "strict"}) {
+      for (Framing framing : Framing.values()) {
+        SlowResponse lumps = new SlowResponse(framing, 70_000, 7_000, 0, 900);
+        exchanges.add(new Exchange(requestClass, 760, lumps));
+        SlowResponse steady = new SlowResponse(framing, 66_000, 1_000, 10, 200);
+        exchanges.add(new Exchange(requestClass, 760, steady));
+        exchanges.add(new Exchange(requestClass, 2_281, steady));
+        SlowResponse unevenly = new SlowResponse(framing, 66_000, 8_000, 150, 1_500);
+        exchanges.add(new Exchange(requestClass, 2_281, unevenly));
+      }
+    }
+    assertAllWhole(exchanges);
+  }
+
   @ParameterizedTest
   @EnumSource(Framing.class)
   void aResponseIsNotCutOffWhileItsServerWritesTheHead(Framing framing) throws Exception {
--- a/edge/src/test/java/edgegateway/policy/retry/LongResponsesTest.java
+++ b/edge/src/test/java/edgegateway/policy/retry/LongResponsesTest.java
@@ -15,13 +15,13 @@
   private static final long MIB = 1 << 20;
 
   private static boolean streamsAtTimeout(long declaredBytes, long silentNanos) {
-    return LongResponses.streamsAtTimeout(new ResponseProgress(declaredBytes, 0, silentNanos));
+    return LongResponses.streamsAtTimeout(new ResponseProgress(declaredBytes, 0, silentNanos, 0));
   }
 
   private static boolean goesOnAfterDeadline(
       long declaredBytes, long receivedBytes, long silentNanos, long lateNanos) {
     return LongResponses.goesOnAfterDeadline(
-        new ResponseProgress(declaredBytes, receivedBytes, silentNanos), lateNanos);
+        new ResponseProgress(declaredBytes, receivedBytes, silentNanos, 0), lateNanos);
   }
 
   @Test
@@ -57,14 +57,29 @@
     assertFalse(goesOnAfterDeadline(UNKNOWN_LENGTH, 16 * KIB - 1, 0, 401 * MILLI));
   }
 
+  /** Guards against taking a server that writes slowly for one that has broken off. */
+  @Test
+  void aResponseWithoutLengthThatIsWrittenSlowlyCountsAsLong() {
+    ResponseProgress slow = new ResponseProgress(UNKNOWN_LENGTH, KIB, 3_000 * MILLI, 300 * MILLI);
+    assertTrue(LongResponses.goesOnAfterDeadline(slow, 10_000 * MILLI));
+    assertTrue(LongResponses.streamsBuffered(slow, 1_000 * MILLI));
+    assertFalse(LongResponses.streamsBuffered(slow, 999 * MILLI));
+    ResponseProgress burst = new ResponseProgress(UNKNOWN_LENGTH, KIB, 0, 299 * MILLI);
+    assertFalse(LongResponses.goesOnAfterDeadline(burst, 401 * MILLI));
+    assertFalse(LongResponses.streamsBuffered(burst, 1_000 * MILLI));
+    ResponseProgress stopped =
+        new ResponseProgress(UNKNOWN_LENGTH, KIB, 3_001 * MILLI, 300 * MILLI);
+    assertFalse(LongResponses.goesOnAfterDeadline(stopped, 0));
+  }
+
   @Test
   void theBeginningOfALongResponseIsNotHeldForSeconds() {
-    ResponseProgress half = new ResponseProgress(100 * KIB, 50 * KIB, 0);
+    ResponseProgress half = new ResponseProgress(100 * KIB, 50 * KIB, 0, 0);
     assertFalse(LongResponses.streamsBuffered(half, 999 * MILLI));
     assertTrue(LongResponses.streamsBuffered(half, 1_000 * MILLI));
-    ResponseProgress few = new ResponseProgress(100 * KIB, 10, 0);
+    ResponseProgress few = new ResponseProgress(100 * KIB, 10, 0, 0);
     assertFalse(LongResponses.streamsBuffered(few, 1_000 * MILLI));
-    ResponseProgress shortOne = new ResponseProgress(50 * KIB, 40 * KIB, 0);
+    ResponseProgress shortOne = new ResponseProgress(50 * KIB, 40 * KIB, 0, 0);
     assertFalse(LongResponses.streamsBuffered(shortOne, 1_000 * MILLI));
   }
 
