End the process when its event loop ends; log library messages without files

What callers saw: after a shortage of descriptors, beside load, the next client is never answered (ConnectionsTest, Read timed out after 60 s).

Cause: the first read of a client needed a class that was not loaded, and the test runs the program from a folder of classes, which opens a file for each: the error ended the event loop. Netty's line about it ended in a second error, as the JDK's formatter loads tzdb.dat with its first record, which also a deployed process does. The process went on listening without its loop.

Change: library messages are lines of the node's log, which needs no file; the end of the event loop ends the process with status 1.

--- a/edge/src/main/java/edgegateway/node/Main.java
+++ b/edge/src/main/java/edgegateway/node/Main.java
@@ -7,6 +7,7 @@
 import edgegateway.node.config.NodeConfigParser;
 import edgegateway.node.lifecycle.ClassArchive;
 import edgegateway.node.logging.EventLog;
+import edgegateway.node.logging.LibraryLogHandler;
 import edgegateway.node.operators.OperatorServer;
 import edgegateway.simulator.SimulatorAdapter;
 import java.nio.file.Path;
@@ -49,6 +50,7 @@
   }
 
   private static void serve(Path file) throws Exception {
+    LibraryLogHandler.install(LOG);
     String text = NodeConfigParser.readText(file);
     NodeConfig config = NodeConfigParser.parse(text);
     EdgeNode node = new EdgeNode(config, sharedFolder());
@@ -57,6 +59,10 @@
       OperatorServer operators = new OperatorServer(node.operatorCommands(), config.operators());
       LOG.info("operators_listening", field("address", operators.address()));
     }
+    // A process without its event loop would go on listening and answer nobody.
+    node.loop
+        .terminationFuture()
+        .addListener(ended -> exit(EXIT_FAILURE, "the event loop ended: see library_message"));
     Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(node), "stop"));
     new ConfigurationReloader(node, file, LOG).start(text);
     if (upgrade) {
