--- a/edge/src/main/java/edgegateway/node/connections/WriteStallTimeout.java
+++ b/edge/src/main/java/edgegateway/node/connections/WriteStallTimeout.java
@@ -16,8 +16,11 @@
   /** Peers may read as slowly as 64 bytes a millisecond; the rest is a margin. */
   private static final long MIN_BYTES_PER_MILLI = 48;
 
-  /** The part of a full send buffer that must be free before the socket is writable again. */
-  private static final long WRITABLE_DIVISOR = 3;
+  /**
+   * Half of a send buffer: the third that must be free before the socket is writable again, and
+   * what the peer may read before its own receive buffer takes more.
+   */
+  private static final long WRITABLE_DIVISOR = 2;
 
   private WriteStallTimeout() {}
 
