Ejections: one name a change, the lock of the process slots, no folder sync

Cause: reading the change once more. EjectionFile caught the overlap of locks as ProcessSlots did; a failed sync of the folder behind the rename answered NAK for a change that was in force; a map stood where one name is changed; and InFlightRequestTable.stopping told an upload by a sentinel, by which a request over capacity, whose answer was put off, would have been taken for an upload.

Change: FileLocks.tryLock serves both; the folder is not synchronized ($TMPDIR does not outlive the machine), so what is answered NAK has no effect; update takes one name; one scheduleDeadline asks the upload itself; Netty's thread factory and ChannelTransport in place of twins of theirs.

Measured: the tests of ejections, slots, upgrades, shutdown, races and waiting clients pass; the tests' expectations are unchanged.

--- a/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
+++ b/edge/src/main/java/edgegateway/node/InFlightRequestTable.java
@@ -53,7 +53,7 @@
   private final StreamDeadlines streamDeadlines;
   private final Map<String, InFlightRequest> inFlight = new HashMap<>();
 
-  /** By when all requests must be answered, as the process stops; until then the end of time. */
+  /** By when all requests must be answered; {@link Long#MAX_VALUE} unless the process stops. */
   private long answerByNanos = Long.MAX_VALUE;
 
   InFlightRequestTable(
@@ -77,11 +77,7 @@
     for (InFlightRequest request : List.copyOf(inFlight.values())) {
       if (!request.responseClaimed) {
         cancelDeadline(request);
-        if (request.clientDeadlineNanos == Long.MAX_VALUE) {
-          scheduleUploadDeadline(request);
-        } else {
-          scheduleDeadline(request, request.clientDeadlineNanos);
-        }
+        scheduleDeadline(request);
       }
     }
   }
@@ -111,10 +107,9 @@
       return false;
     }
     if (request.upload == null) {
-      scheduleDeadline(request, request.request.deadlineNanos() + POLICY_DEADLINE_MARGIN_NANOS);
-    } else {
-      scheduleUploadDeadline(request);
+      request.clientDeadlineNanos = request.request.deadlineNanos() + POLICY_DEADLINE_MARGIN_NANOS;
     }
+    scheduleDeadline(request);
     runEvent(request, (policy, now) -> policy.requestReceived(now, request.request));
     return true;
   }
@@ -146,7 +141,8 @@
   public void uploadCompleted(InFlightRequest request, long clientWaitsNanos) {
     if (!request.responseClaimed) {
       cancelDeadline(request);
-      scheduleDeadline(request, nowNanos() + request.clientTimeoutNanos - clientWaitsNanos);
+      request.clientDeadlineNanos = nowNanos() + request.clientTimeoutNanos - clientWaitsNanos;
+      scheduleDeadline(request);
       runEvent(request, (policy, now) -> policy.uploadCompleted(now, request.request.id()));
     }
   }
@@ -387,11 +383,15 @@
   }
 
   /**
-   * Sets the client's deadline, shortly before which an unanswered request is failed even if the
-   * policy has not decided.
+   * Schedules the end of a request that is unanswered shortly before the client's deadline, or
+   * before the process must have answered it, even if the policy has not decided.
    */
-  private void scheduleDeadline(InFlightRequest request, long deadlineNanos) {
-    request.clientDeadlineNanos = Math.min(deadlineNanos, answerByNanos);
+  private void scheduleDeadline(InFlightRequest request) {
+    if (request.upload != null && !request.upload.isComplete()) {
+      scheduleUploadDeadline(request);
+      return;
+    }
+    request.clientDeadlineNanos = Math.min(request.clientDeadlineNanos, answerByNanos);
     request.clientDeadlineTimer =
         policyEvents.scheduleAt(
             request.clientDeadlineNanos - LOCAL_FAILURE_MARGIN_NANOS,
--- a/edge/src/main/java/edgegateway/node/OperatorEjections.java
+++ b/edge/src/main/java/edgegateway/node/OperatorEjections.java
@@ -4,6 +4,7 @@
 import edgegateway.node.operators.EjectionFile;
 import edgegateway.node.operators.EjectionStore;
 import edgegateway.node.upstream.UpstreamPool;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.nio.file.Path;
 import java.util.HashSet;
 import java.util.List;
@@ -61,11 +62,7 @@
         FILE_THREAD_IDLE_SECONDS,
         TimeUnit.SECONDS,
         new LinkedBlockingQueue<>(),
-        task -> {
-          Thread thread = new Thread(task, "operator-ejections");
-          thread.setDaemon(true);
-          return thread;
-        });
+        new DefaultThreadFactory("operator-ejections", true));
   }
 
   /** Applies the files if they have changed, by another process of this node, too. */
--- a/edge/src/main/java/edgegateway/node/operators/EjectionFile.java
+++ b/edge/src/main/java/edgegateway/node/operators/EjectionFile.java
@@ -6,18 +6,17 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import edgegateway.node.logging.EventLog;
+import edgegateway.node.upgrade.FileLocks;
 import edgegateway.protocol.Json;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.LinkedHashSet;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -41,6 +40,7 @@
   private static final long LOCK_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   private static final long LOCK_RETRY_MILLIS = 2;
+  private static final int LOCKED_BYTE = 0;
 
   /** Null if there is no shared folder; then nothing is preserved. */
   private final Path file;
@@ -98,15 +98,13 @@
   }
 
   /**
-   * Ejects and readmits names in the file, atomically and beside updates of another process. When
-   * this returns, the change has been synchronized to the disk.
+   * Ejects or readmits one name in the file, atomically and beside updates of another process.
    *
-   * @param changes whether each name is ejected from now on; others stay as they are in the file
    * @param namesIfMissing the names that were stored as far as this process knows, which take the
    *     place of a missing or invalid file's
-   * @throws IOException if the change is not stored; the file is then as it was, or as it should be
+   * @throws IOException if the change is not stored; the file is then as it was
    */
-  public void update(Map<String, Boolean> changes, Set<String> namesIfMissing) throws IOException {
+  public void update(String name, boolean ejected, Set<String> namesIfMissing) throws IOException {
     if (file == null) {
       return;
     }
@@ -116,14 +114,11 @@
         FileChannel.open(lockFile, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
       lock(channel);
       Set<String> names = storedNames(namesIfMissing);
-      changes.forEach(
-          (name, ejected) -> {
-            if (ejected) {
-              names.add(name);
-            } else {
-              names.remove(name);
-            }
-          });
+      if (ejected) {
+        names.add(name);
+      } else {
+        names.remove(name);
+      }
       replace(names);
     }
   }
@@ -135,7 +130,7 @@
   /** Takes the lock, which the other process holds only while it updates the file. */
   private void lock(FileChannel channel) throws IOException {
     long startNanos = System.nanoTime();
-    while (!tryLock(channel)) {
+    while (FileLocks.tryLock(channel, LOCKED_BYTE) == null) {
       if (System.nanoTime() - startNanos > LOCK_TIMEOUT_NANOS) {
         throw new IOException("the other process does not release the lock of " + file);
       }
@@ -148,15 +143,6 @@
     }
   }
 
-  private static boolean tryLock(FileChannel channel) throws IOException {
-    try {
-      return channel.tryLock() != null;
-    } catch (OverlappingFileLockException e) {
-      // Held by another node of this process: tests run two nodes in one.
-      return false;
-    }
-  }
-
   private Set<String> storedNames(Set<String> namesIfMissing) throws IOException {
     if (!Files.exists(file)) {
       return new LinkedHashSet<>(namesIfMissing);
@@ -209,9 +195,6 @@
       channel.force(true);
     }
     Files.move(draft, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-    try (FileChannel folder = FileChannel.open(file.getParent(), StandardOpenOption.READ)) {
-      folder.force(true);
-    }
   }
 
   private void logIgnored(IOException cause) {
--- a/edge/src/main/java/edgegateway/node/operators/EjectionStore.java
+++ b/edge/src/main/java/edgegateway/node/operators/EjectionStore.java
@@ -87,7 +87,7 @@
   /** Returns null on success. */
   private Exception write(Change change, Set<String> namesIfMissing) {
     try {
-      file.update(Map.of(change.name, change.ejected), namesIfMissing);
+      file.update(change.name, change.ejected, namesIfMissing);
       return null;
     } catch (IOException | RuntimeException e) {
       return e;
--- a/edge/src/main/java/edgegateway/node/upgrade/ProcessSlots.java
+++ b/edge/src/main/java/edgegateway/node/upgrade/ProcessSlots.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 
@@ -63,7 +62,7 @@
         opened = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         for (int attempt = 0; lifetimeLock == null && attempt < MAX_LOCK_ATTEMPTS; attempt++) {
           triedSlot = attempt % SLOT_COUNT;
-          lifetimeLock = tryLock(opened, triedSlot);
+          lifetimeLock = FileLocks.tryLock(opened, triedSlot);
         }
       }
     } catch (IOException e) {
@@ -103,7 +102,7 @@
     try {
       if (accepting && acceptingLock == null && lifetimeLock != null) {
         for (int attempt = 0; acceptingLock == null && attempt < MAX_LOCK_ATTEMPTS; attempt++) {
-          acceptingLock = tryLock(file, ACCEPTING_OFFSET + slot);
+          acceptingLock = FileLocks.tryLock(file, ACCEPTING_OFFSET + slot);
         }
       } else if (!accepting && acceptingLock != null) {
         acceptingLock.release();
@@ -118,21 +117,11 @@
     if (lifetimeLock == null) {
       return false;
     }
-    try (FileLock lock = tryLock(file, position)) {
+    try (FileLock lock = FileLocks.tryLock(file, position)) {
       return lock == null;
     } catch (IOException e) {
       LOG.warn("upgrade_slot_failed", field("file", path), field("error", e));
       return false;
     }
   }
-
-  /** Returns null if another process holds the byte. */
-  private static FileLock tryLock(FileChannel file, int position) throws IOException {
-    try {
-      return file.tryLock(position, 1, false);
-    } catch (OverlappingFileLockException e) {
-      // The byte is locked by this process itself: tests run two nodes in one process.
-      return null;
-    }
-  }
 }
--- a/edge/src/main/java/edgegateway/node/upstream/UpstreamConnector.java
+++ b/edge/src/main/java/edgegateway/node/upstream/UpstreamConnector.java
@@ -2,6 +2,7 @@
 
 import static edgegateway.node.logging.EventLog.field;
 
+import edgegateway.node.connections.ChannelTransport;
 import edgegateway.node.connections.ConnectFailure;
 import edgegateway.node.connections.OutboundConnector;
 import edgegateway.node.connections.StrictHttpResponseDecoder;
@@ -85,7 +86,7 @@
       return;
     }
     Channel channel = connectFuture.channel();
-    connection.attachTransport(channel::close);
+    connection.attachTransport(new ChannelTransport(channel));
     connectFuture.addListener(
         done -> {
           if (done.isSuccess()) {
--- a/edge/src/test/java/edgegateway/node/operators/EjectionFileTest.java
+++ b/edge/src/test/java/edgegateway/node/operators/EjectionFileTest.java
@@ -11,10 +11,8 @@
 import java.nio.file.Path;
 import java.nio.file.attribute.FileTime;
 import java.util.Collection;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -47,27 +45,27 @@
 
   @Test
   void writesFilesInTheFixedFormat() throws Exception {
-    new EjectionFile(folder, "left-out").update(ejecting(ENDPOINTS), Set.of());
-    new EjectionFile(folder, "zones-out").update(ejecting(List.of("b", "a")), Set.of());
+    eject(new EjectionFile(folder, "left-out"), ENDPOINTS);
+    eject(new EjectionFile(folder, "zones-out"), List.of("b", "a"));
     assertArrayEquals(ENDPOINTS_FILE, Files.readAllBytes(folder.resolve("left-out.json")));
     assertArrayEquals(ZONES_FILE, Files.readAllBytes(folder.resolve("zones-out.json")));
   }
 
-  private static Map<String, Boolean> ejecting(Collection<String> names) {
-    Map<String, Boolean> changes = new LinkedHashMap<>();
-    names.forEach(name -> changes.put(name, true));
-    return changes;
+  private static void eject(EjectionFile file, Collection<String> names) throws IOException {
+    for (String name : names) {
+      file.update(name, true, Set.of());
+    }
   }
 
   @Test
   void returnsTheNamesOnceAfterEachChange() throws Exception {
     EjectionFile file = new EjectionFile(folder, "left-out");
     assertNull(file.readIfChanged());
-    file.update(ejecting(ENDPOINTS), Set.of());
+    eject(file, ENDPOINTS);
     assertEquals(ENDPOINTS, file.readIfChanged());
     assertNull(file.readIfChanged());
     assertEquals(ENDPOINTS, new EjectionFile(folder, "left-out").readIfChanged());
-    new EjectionFile(folder, "left-out").update(Map.of("s-0", false), Set.of());
+    new EjectionFile(folder, "left-out").update("s-0", false, Set.of());
     assertEquals(Set.of("s-5be2a07c", "s \"\u00e4\" \\"), file.readIfChanged());
     assertNull(file.readIfChanged());
   }
@@ -77,11 +75,11 @@
   void anUpdateKeepsWhatAnotherProcessHasWritten() throws Exception {
     EjectionFile first = new EjectionFile(folder, "left-out");
     EjectionFile second = new EjectionFile(folder, "left-out");
-    first.update(Map.of("s-0", true), Set.of("s-0"));
-    second.update(Map.of("s-1", true), Set.of("s-1"));
+    first.update("s-0", true, Set.of("s-0"));
+    second.update("s-1", true, Set.of("s-1"));
     assertEquals(Set.of("s-0", "s-1"), first.readIfChanged());
-    second.update(Map.of("s-0", false), Set.of("s-1"));
-    first.update(Map.of("s-2", true), Set.of("s-0", "s-2"));
+    second.update("s-0", false, Set.of("s-1"));
+    first.update("s-2", true, Set.of("s-0", "s-2"));
     assertEquals(Set.of("s-1", "s-2"), second.readIfChanged());
   }
 
@@ -89,10 +87,10 @@
   @Test
   void aChangeWithinOneTickOfTheFileSystemIsSeen() throws Exception {
     EjectionFile file = new EjectionFile(folder, "left-out");
-    file.update(Map.of("s-0", true), Set.of());
+    file.update("s-0", true, Set.of());
     assertEquals(Set.of("s-0"), file.readIfChanged());
     FileTime modified = Files.getLastModifiedTime(folder.resolve("left-out.json"));
-    new EjectionFile(folder, "left-out").update(Map.of("s-1", true), Set.of());
+    new EjectionFile(folder, "left-out").update("s-1", true, Set.of());
     Files.setLastModifiedTime(folder.resolve("left-out.json"), modified);
     assertEquals(Set.of("s-0", "s-1"), file.readIfChanged());
   }
@@ -102,19 +100,19 @@
     Files.writeString(folder.resolve("left-out.json.draft"), "[\"s-0\",\"s-1\",\"s-2\",\"s-");
     EjectionFile file = new EjectionFile(folder, "left-out");
     assertNull(file.readIfChanged());
-    file.update(Map.of("s-7", true), Set.of());
+    file.update("s-7", true, Set.of());
     assertEquals(Set.of("s-7"), file.readIfChanged());
   }
 
   @Test
   void anUpdateThatFailsLeavesTheFileAsItWas() throws Exception {
     EjectionFile file = new EjectionFile(folder, "left-out");
-    file.update(Map.of("s-0", true), Set.of());
+    file.update("s-0", true, Set.of());
     Path draft = Files.createDirectory(folder.resolve("left-out.json.draft"));
-    assertThrows(IOException.class, () -> file.update(Map.of("s-1", true), Set.of()));
+    assertThrows(IOException.class, () -> file.update("s-1", true, Set.of()));
     assertEquals(Set.of("s-0"), file.readIfChanged());
     Files.delete(draft);
-    file.update(Map.of("s-2", true), Set.of());
+    file.update("s-2", true, Set.of());
     assertEquals(Set.of("s-0", "s-2"), file.readIfChanged());
   }
 
@@ -123,7 +121,7 @@
     Files.write(folder.resolve("left-out.json"), new byte[] {(byte) 0xff, 0, '['});
     EjectionFile file = new EjectionFile(folder, "left-out");
     assertNull(file.readIfChanged());
-    file.update(Map.of("s-1", true), Set.of("s-0", "s-1"));
+    file.update("s-1", true, Set.of("s-0", "s-1"));
     assertEquals(Set.of("s-0", "s-1"), file.readIfChanged());
   }
 
@@ -139,7 +137,7 @@
   @Test
   void preservesNothingWithoutAFolder() throws Exception {
     EjectionFile file = new EjectionFile(null, "left-out");
-    file.update(ejecting(ENDPOINTS), ENDPOINTS);
+    eject(file, ENDPOINTS);
     assertNull(file.readIfChanged());
   }
 }
