--- a/edge/src/test/java/edgegateway/node/OperatorServerTest.java
+++ b/edge/src/test/java/edgegateway/node/OperatorServerTest.java
@@ -249,6 +249,38 @@
     awaitMetric(laterOps, "app.skipped_archive_servers", "9");
   }
 
+  /** As the test above, for zones, whose ejections are in a file of their own. */
+  @Test
+  void zonesEjectedAtBothProcessesOfAnUpgradeAllHold() throws Exception {
+    FakePeer server = peer(m -> m.answer(FakePeer.ok("", "x")));
+    String config =
+        config(memberIn("a", server), memberIn("b", server), memberIn("c", server))
+            .replaceFirst("\"b\"(\\s+\\])", "\"b\", \"c\"$1");
+    EdgeNode oldNode = startNode(config, folder);
+    EdgeNode newNode = startNode(config, folder);
+    List<OperatorServer> both = List.of(ops(oldNode), ops(newNode));
+    assertEquals("ACK", ackOrNak(both.get(0), "zone-out a"));
+    assertEquals("ACK", ackOrNak(both.get(1), "zone-out b"));
+    for (OperatorServer ops : both) {
+      awaitMetric(ops, "app.skipped_archive_servers", "2");
+    }
+    assertEquals("ACK", ackOrNak(both.get(0), "zone-in b"));
+    awaitMetric(both.get(1), "app.skipped_archive_servers", "1");
+    assertEquals("ACK", ackOrNak(both.get(1), "zone-out c"));
+    OperatorServer laterOps = ops(startNode(config, folder));
+    for (OperatorServer ops : List.of(both.get(0), both.get(1), laterOps)) {
+      awaitMetric(ops, "app.skipped_archive_servers", "2");
+      assertTrue(
+          call(ops, "zones\n")
+              .matches("a state=out .*\n(b state=(in|returning)) .*\nc state=out .*\n--\n"));
+    }
+  }
+
+  private static String memberIn(String zone, FakePeer server) {
+    return member("s-" + zone, server.address(), "Ready", 0)
+        .replace("\"locality\":\"a\"", "\"locality\":\"" + zone + "\"");
+  }
+
   @Test
   void aCommandThatCannotBeStoredIsRefusedAndHasNoEffect() throws Exception {
     FakePeer server = peer(m -> m.answer(FakePeer.ok("", "x")));
--- a/edge/src/test/java/edgegateway/node/ShutdownTest.java
+++ b/edge/src/test/java/edgegateway/node/ShutdownTest.java
@@ -4,16 +4,19 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import edgegateway.node.config.NodeConfigParser;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /** A node that is stopped while its archive servers hang, with clients that send until the kill. */
 @Timeout(60)
@@ -76,7 +79,23 @@
   /** Guards against requests without an answer when the process is killed after SIGTERM. */
   @Test
   void everyRequestIsAnsweredBeforeTheKillThoughServersHang() throws Exception {
-    EdgeNode node = startNode(config(asManyMembers(peer(m -> {}))));
+    assertAllAreAnsweredBeforeTheKill(startNode(config(asManyMembers(peer(m -> {})))));
+  }
+
+  /** The same for the old process of an upgrade, which ends by the same clock. */
+  @Test
+  void everyRequestIsAnsweredBeforeTheKillInAnUpgrade(@TempDir Path folder) throws Exception {
+    String config = config(asManyMembers(peer(m -> {})));
+    EdgeNode oldNode = startNode(config, folder);
+    oldNode.admit();
+    EdgeNode newNode = new EdgeNode(NodeConfigParser.parse(config), folder);
+    toClose.add(newNode);
+    newNode.startAsSuccessor();
+    assertTrue(oldNode.slots.isOtherProcessAccepting());
+    assertAllAreAnsweredBeforeTheKill(oldNode);
+  }
+
+  private void assertAllAreAnsweredBeforeTheKill(EdgeNode node) throws Exception {
     Socket waiting = client(node);
     sendOrder(waiting, "t-waiting");
     Socket slowHead = client(node);
--- a/edge/src/test/java/edgegateway/node/SlowServerTest.java
+++ b/edge/src/test/java/edgegateway/node/SlowServerTest.java
@@ -219,13 +219,20 @@
   @EnumSource(Framing.class)
   void theBeginningOfALongResponseIsNotHeldBackForSeconds(Framing framing) throws Exception {
     InetSocketAddress address = startNodeProcess(startServer(0).address(), WAIT_MILLIS);
-    SlowResponse response = new SlowResponse(framing, 100_000, 50_000, 0, MAX_HOLD_MILLIS + 500);
+    assertBeginsInTime(
+        address, new SlowResponse(framing, 100_000, 50_000, 0, MAX_HOLD_MILLIS + 500));
+    // Its first 16 KiB take longer than its beginning may be held back.
+    assertBeginsInTime(address, new SlowResponse(framing, 66_000, 2_000, 0, 300));
+  }
+
+  private void assertBeginsInTime(InetSocketAddress address, SlowResponse response)
+      throws Exception {
     try (Socket client = connect(address)) {
       long startNanos = System.nanoTime();
       sendRequest(
           client,
           "POST " + response.path(),
-          headers("t-1", "strict", Integer.toString(WAIT_MILLIS)),
+          headers("t-" + response.bytes(), "strict", Integer.toString(WAIT_MILLIS)),
           "");
       String head = readHead(client.getInputStream());
       long firstMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
--- a/edge/src/test/java/edgegateway/node/UnwrittenResponseTest.java
+++ b/edge/src/test/java/edgegateway/node/UnwrittenResponseTest.java
@@ -5,10 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +18,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Complete responses that the node has passed to the channel and that the socket has not accepted,
@@ -117,44 +121,79 @@
   }
 
   /**
-   * Reads at the lowest rate that clients may read at, so slowly that the kernel's buffer stays
-   * full.
+   * Reads at the lowest rate that peers may read at, so slowly that the kernel's buffer stays full.
+   *
+   * @param stepMillis the time between two reads
+   * @return how many bytes it read
    */
-  private static byte[] readSlowly(Socket client) throws Exception {
-    InputStream in = client.getInputStream();
-    ByteArrayOutputStream read = new ByteArrayOutputStream();
-    for (int i = 0; i < SLOW_READ_MILLIS / SLOW_READ_STEP_MILLIS; i++) {
-      Thread.sleep(SLOW_READ_STEP_MILLIS);
-      read.write(in.readNBytes(SLOW_READ_BYTES_PER_MILLI * SLOW_READ_STEP_MILLIS));
+  private static int readSlowly(InputStream in, int stepMillis) throws Exception {
+    int bytes = 0;
+    for (int i = 0; i < SLOW_READ_MILLIS / stepMillis; i++) {
+      Thread.sleep(stepMillis);
+      bytes += in.readNBytes(SLOW_READ_BYTES_PER_MILLI * stepMillis).length;
     }
-    return read.toByteArray();
+    return bytes;
   }
 
   /** Guards against taking a client that reads at 64 kB a second for one that does not read. */
-  @Test
-  void aLongResponseIsNotCutThoughItsClientReadsSlowly() throws Exception {
+  @ParameterizedTest
+  @ValueSource(ints = {SLOW_READ_STEP_MILLIS, 3_000})
+  void aLongResponseIsNotCutThoughItsClientReadsSlowly(int stepMillis) throws Exception {
     FakePeer server = peer(message -> message.answer(FakePeer.ok("", "x".repeat(LONG_BYTES))));
     EdgeNode node = startNode(server);
     Socket client = client(node);
     sendRequest(client, "GET /api", headers("t-1", "lookup", "6000"), "");
-    String head = readHead(client.getInputStream());
+    InputStream in = client.getInputStream();
+    String head = readHead(in);
     assertTrue(head.startsWith("HTTP/1.1 200"), head);
-    int slowlyRead = readSlowly(client).length;
+    int slowlyRead = readSlowly(in, stepMillis);
     assertEquals(
         LONG_BYTES - slowlyRead,
-        client.getInputStream().readNBytes(LONG_BYTES - slowlyRead).length,
+        in.readNBytes(LONG_BYTES - slowlyRead).length,
         "bytes read after " + slowlyRead);
   }
 
+  /** The same in the other direction: an archive server may read as slowly as a client. */
+  @Test
+  void aLongRequestIsNotCutThoughItsServerReadsSlowly() throws Exception {
+    CompletableFuture<Integer> received = new CompletableFuture<>();
+    ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    toClose.add(server);
+    FakePeer.startDaemon(
+        () -> {
+          try (Socket socket = server.accept()) {
+            InputStream in = socket.getInputStream();
+            readHead(in);
+            int slowlyRead = readSlowly(in, SLOW_READ_STEP_MILLIS);
+            received.complete(slowlyRead + in.readNBytes(LONG_BYTES - slowlyRead).length);
+            socket
+                .getOutputStream()
+                .write(FakePeer.ok("", "x").getBytes(StandardCharsets.US_ASCII));
+            socket.getInputStream().read();
+          } catch (IOException e) {
+            received.completeExceptionally(e);
+            throw e;
+          } catch (Exception e) {
+            received.completeExceptionally(e);
+          }
+        });
+    String address = "127.0.0.1:" + server.getLocalPort();
+    EdgeNode node = startNode(config(member("s-0", address, "Ready", 0)));
+    Socket client = client(node);
+    sendRequest(client, "POST /api", headers("t-1", "order", "50000"), "x".repeat(LONG_BYTES));
+    assertEquals(LONG_BYTES, received.get(60, TimeUnit.SECONDS));
+    assertEquals("200", status(FakePeer.read(client)));
+  }
+
   /** As the test above, for complete responses that wait to be written. */
   @Test
   void completeResponsesAreNotCutThoughTheirClientReadsSlowly() throws Exception {
     EdgeNode node = startNodeWithLimits("{}");
     Socket client = clientBehindItsResponses(node);
-    byte[] slowlyRead = readSlowly(client);
-    byte[] rest =
-        client.getInputStream().readNBytes(RESPONSE_COUNT * RESPONSE_BYTES - slowlyRead.length);
-    assertEquals(RESPONSE_COUNT * RESPONSE_BYTES, slowlyRead.length + rest.length);
+    InputStream in = client.getInputStream();
+    int slowlyRead = readSlowly(in, SLOW_READ_STEP_MILLIS);
+    int expected = RESPONSE_COUNT * RESPONSE_BYTES;
+    assertEquals(expected - slowlyRead, in.readNBytes(expected - slowlyRead).length);
     assertEquals(0, metric(node, "connections.responses_cut"));
   }
 
